--- /dev/null
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/port/TargetAccess.kt
@@ -0,0 +1,57 @@
+/*
+ * Port to the right to use targets. A grant allows one piece of work on one target; who decides
+ * (this process or a peer that holds the target's seat) is the adapter's matter.
+ */
+package yuccaferry.daemon.port
+
+import com.github.michaelbull.result.Result
+import yuccaferry.decisions.placement.Demand
+import yuccaferry.model.Epoch
+import yuccaferry.model.MonotonicTime
+import yuccaferry.model.Target
+import yuccaferry.model.TargetId
+
+/**
+ * The right to start one piece of work on [target].
+ *
+ * @property useBy the work must have been sent before this time, or not at all.
+ */
+data class Grant(
+    val number: Long,
+    val target: Target,
+    val epoch: Epoch,
+    val useBy: MonotonicTime,
+)
+
+/** Why no target was granted. */
+sealed interface AccessRefusal {
+    /** No live target in service may serve the demand at all. */
+    data object NoTarget : AccessRefusal
+
+    /** Targets exist but none had room before the deadline. */
+    data object Full : AccessRefusal
+
+    /** This daemon can't confirm that its configuration and seats are current. */
+    data class NotConfirmed(
+        val reason: String,
+    ) : AccessRefusal
+}
+
+/** How the use of a grant ended. */
+enum class UseOutcome { UNUSED, SUCCEEDED, TARGET_FAILED, CANCELLED }
+
+/** Grants the right to use targets. */
+interface TargetAccess {
+    /** Waits for a grant until [deadline]; targets in [excluded] are not considered. */
+    suspend fun acquire(
+        demand: Demand,
+        excluded: Set<TargetId>,
+        deadline: MonotonicTime,
+    ): Result<Grant, AccessRefusal>
+
+    /** Gives [grant] back; never fails, and is safe to call from a cancelled coroutine. */
+    fun release(
+        grant: Grant,
+        outcome: UseOutcome,
+    )
+}
--- /dev/null
+++ b/load/src/main/kotlin/yuccaferry/load/Placeholder.kt
@@ -0,0 +1,4 @@
+// Placeholder of the module until its first code.
+package yuccaferry.load
+
+internal object Placeholder
