--- /dev/null
+++ b/adapter-peer/src/main/kotlin/yuccaferry/peer/PeerChannels.kt
@@ -0,0 +1,69 @@
+/*
+ * Kept connections to other daemons, one per address, and the one place where transport failures
+ * become errors of the port.
+ */
+package yuccaferry.peer
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.grpc.CallOptions
+import io.grpc.ManagedChannel
+import io.grpc.MethodDescriptor
+import io.grpc.Status
+import io.grpc.StatusException
+import io.grpc.kotlin.ClientCalls
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder
+import yuccaferry.daemon.port.PeerError
+import yuccaferry.model.Address
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+
+/** Connections to peers, opened on first use and kept until [close]. */
+class PeerChannels : AutoCloseable {
+    private val channels = ConcurrentHashMap<Address, ManagedChannel>()
+
+    /** Calls [method] at [peer] and waits at most [timeoutMillis]. */
+    suspend fun <Q, A> call(
+        peer: Address,
+        method: MethodDescriptor<Q, A>,
+        request: Q,
+        timeoutMillis: Long,
+    ): Result<A, PeerError> {
+        val options = CallOptions.DEFAULT.withDeadlineAfter(timeoutMillis, TimeUnit.MILLISECONDS)
+        return try {
+            Ok(ClientCalls.unaryRpc(channel(peer), method, request, options))
+        } catch (e: StatusException) {
+            Err(peerError(e.status))
+        }
+    }
+
+    /** Closes the connection to a peer that has left. */
+    fun forget(peer: Address) {
+        channels.remove(peer)?.shutdown()
+    }
+
+    override fun close() {
+        channels.values.forEach { it.shutdownNow() }
+        channels.clear()
+    }
+
+    private fun channel(peer: Address) =
+        channels.computeIfAbsent(peer) {
+            NettyChannelBuilder
+                .forTarget(it.value)
+                .usePlaintext()
+                .build()
+        }
+
+    private fun peerError(status: Status): PeerError =
+        when (status.code) {
+            Status.Code.FAILED_PRECONDITION, Status.Code.INVALID_ARGUMENT, Status.Code.PERMISSION_DENIED -> {
+                PeerError.Refused(status.description ?: status.code.name)
+            }
+
+            else -> {
+                PeerError.Unreachable("${status.code}: ${status.description ?: status.cause?.message}")
+            }
+        }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/port/PeerError.kt
@@ -0,0 +1,17 @@
+// Errors of every port that talks to another daemon.
+package yuccaferry.daemon.port
+
+/** Why a peer gave no answer. */
+sealed interface PeerError {
+    val message: String
+
+    /** The peer could not be reached or did not answer in time; it may still have acted on the request. */
+    data class Unreachable(
+        override val message: String,
+    ) : PeerError
+
+    /** The peer refused the request. */
+    data class Refused(
+        override val message: String,
+    ) : PeerError
+}
