--- /dev/null
+++ b/telemetry/src/main/kotlin/yuccaferry/telemetry/DaemonTelemetry.kt
@@ -0,0 +1,93 @@
+// Logs by Log4j 2, metrics by Micrometer in Prometheus text, traces by OpenTelemetry, behind the daemon's port.
+package yuccaferry.telemetry
+
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.Tag
+import io.micrometer.core.instrument.Tags
+import io.micrometer.core.instrument.binder.jvm.JvmGcMetrics
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.opentelemetry.sdk.trace.export.SpanExporter
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.LogManager
+import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.Severity
+import yuccaferry.daemon.port.Span
+import yuccaferry.daemon.port.Telemetry
+import java.util.concurrent.TimeUnit
+
+/**
+ * Telemetry of the process [name]; [close] sends the spans that are still buffered.
+ *
+ * @param exporter where spans go, null for nowhere.
+ */
+class DaemonTelemetry(
+    private val name: String,
+    exporter: SpanExporter? = null,
+) : Telemetry,
+    AutoCloseable {
+    private val logger = LogManager.getLogger("yuccaferry")
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val gcMetrics = JvmGcMetrics().apply { bindTo(registry) }
+    private val traces = Traces(name, exporter)
+
+    init {
+        JvmMemoryMetrics().bindTo(registry)
+        ProcessorMetrics().bindTo(registry)
+    }
+
+    /** All metrics in the Prometheus text format. */
+    fun scrape(): String = registry.scrape()
+
+    override fun event(
+        name: String,
+        vararg fields: Field,
+        severity: Severity,
+    ) {
+        val level = levelOf(severity)
+        if (logger.isEnabled(level)) logger.log(level, logLine(name, listOf(Field("daemon", this.name)) + fields))
+    }
+
+    override fun count(
+        name: String,
+        amount: Double,
+        vararg labels: Field,
+    ) = registry.counter(name, tags(labels)).increment(amount)
+
+    override fun time(
+        name: String,
+        millis: Long,
+        vararg labels: Field,
+    ) = registry.timer(name, tags(labels)).record(millis, TimeUnit.MILLISECONDS)
+
+    override fun gauge(
+        name: String,
+        vararg labels: Field,
+        read: () -> Double,
+    ) {
+        Gauge.builder(name, read).tags(tags(labels)).register(registry)
+    }
+
+    override fun span(
+        name: String,
+        parent: String?,
+    ): Span = traces.open(name, parent)
+
+    override fun close() {
+        traces.close()
+        gcMetrics.close()
+        registry.close()
+    }
+
+    private fun tags(labels: Array<out Field>) = Tags.of(labels.map { Tag.of(it.key, it.value.toString()) })
+
+    private fun levelOf(severity: Severity): Level =
+        when (severity) {
+            Severity.DEBUG -> Level.DEBUG
+            Severity.INFO -> Level.INFO
+            Severity.WARN -> Level.WARN
+            Severity.ERROR -> Level.ERROR
+        }
+}
