--- a/daemon/src/main/kotlin/yuccaferry/daemon/port/TargetAccess.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/port/TargetAccess.kt
@@ -5,6 +5,7 @@
 package yuccaferry.daemon.port
 
 import com.github.michaelbull.result.Result
+import yuccaferry.decisions.grants.UseOutcome
 import yuccaferry.decisions.placement.Demand
 import yuccaferry.model.Epoch
 import yuccaferry.model.MonotonicTime
@@ -37,9 +38,6 @@
     ) : AccessRefusal
 }
 
-/** How the use of a grant ended. */
-enum class UseOutcome { UNUSED, SUCCEEDED, TARGET_FAILED, CANCELLED }
-
 /** Grants the right to use targets. */
 interface TargetAccess {
     /** Waits for a grant until [deadline]; targets in [excluded] are not considered. */
--- a/daemon/src/main/kotlin/yuccaferry/daemon/request/GenerationService.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/request/GenerationService.kt
@@ -24,7 +24,7 @@
 import yuccaferry.daemon.port.TargetAccess
 import yuccaferry.daemon.port.TargetError
 import yuccaferry.daemon.port.Telemetry
-import yuccaferry.daemon.port.UseOutcome
+import yuccaferry.decisions.grants.UseOutcome
 import yuccaferry.decisions.lifecycle.StreamCheck
 import yuccaferry.decisions.lifecycle.StreamVerdict
 import yuccaferry.decisions.placement.Demand
--- /dev/null
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/grants/AskQueue.kt
@@ -0,0 +1,67 @@
+/*
+ * Asks that wait for room on one target, by priority and, within a priority, by start-time fair queueing
+ * over accounts: each account's asks are spaced by their cost over its weight, so that an account with
+ * many asks does not hold up one with few.
+ */
+package yuccaferry.decisions.grants
+
+import yuccaferry.model.AccountName
+import yuccaferry.model.MonotonicTime
+import yuccaferry.model.RequestId
+
+/** Fixed part of an ask's cost in tokens, so that asks without a prompt count too. */
+private const val BASE_COST_TOKENS = 100L
+
+internal class WaitingAsk(
+    val ask: Ask,
+    val since: MonotonicTime,
+    val until: MonotonicTime,
+    val startTag: Long,
+    val sequence: Long,
+)
+
+internal class AskQueue {
+    private val waiting = mutableListOf<WaitingAsk>()
+    private val finishTags = mutableMapOf<AccountName, Long>()
+    private var virtualTime = 0L
+    private var sequence = 0L
+
+    val size: Int get() = waiting.size
+
+    fun add(
+        ask: Ask,
+        now: MonotonicTime,
+        until: MonotonicTime,
+    ) {
+        val start = maxOf(virtualTime, finishTags[ask.account] ?: 0L)
+        finishTags[ask.account] = start + (ask.prefillTokens + BASE_COST_TOKENS) / maxOf(1, ask.weight)
+        val entry = WaitingAsk(ask, now, until, start, sequence++)
+        val at = waiting.indexOfFirst { ORDER.compare(entry, it) < 0 }
+        if (at < 0) waiting += entry else waiting.add(at, entry)
+    }
+
+    /** Asks in the order in which they are served. */
+    fun inOrder(): List<WaitingAsk> = waiting.toList()
+
+    fun remove(request: RequestId): WaitingAsk? {
+        val at = waiting.indexOfFirst { it.ask.request == request }
+        return if (at < 0) null else waiting.removeAt(at)
+    }
+
+    /** Takes [entry] out because it was served. */
+    fun serve(entry: WaitingAsk) {
+        waiting.remove(entry)
+        virtualTime = maxOf(virtualTime, entry.startTag)
+        forgetIdleAccounts()
+    }
+
+    fun clear() = waiting.clear()
+
+    private fun forgetIdleAccounts() {
+        finishTags.values.removeAll { it <= virtualTime }
+    }
+
+    private companion object {
+        val ORDER: Comparator<WaitingAsk> = compareBy({ it.ask.priority }, { it.startTag }, { it.sequence })
+    }
+}
