--- /dev/null
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/placement/LengthAware.kt
@@ -0,0 +1,169 @@
+/*
+ * Placement by the tokens that a request costs. Long prompts stay on a share of the engines that grows with
+ * the long work in progress; all others avoid the engines that have it. Within its share a request takes the
+ * better of a few engines drawn at random, and goes to an engine that may have its prefix in cache unless that
+ * engine is loaded well above the average. A decision reads a bounded number of views, whatever the table's size.
+ */
+package yuccaferry.decisions.placement
+
+import yuccaferry.model.TargetId
+import kotlin.math.ceil
+
+private const val FULL_COST = 1L shl 40
+private const val NO_COST = -1L
+private const val COST_PER_REQUEST = 64L
+private const val PREFIX_NEIGHBOURS = 4
+private const val DRAW_ATTEMPTS_PER_CHOICE = 8
+
+/** Milliseconds of waiting that make a request one step more urgent. */
+private const val AGEING_STEP_MILLIS = 2_000L
+private const val PRIORITY_STEP_PER_CLASS = 10
+
+/**
+ * Places by length.
+ *
+ * @property choices eligible targets drawn at random for one decision.
+ * @property minLongShare share of the targets that long prompts may always use.
+ * @property maxLongShare share of the targets that long prompts use at most.
+ * @property prefixAffinity whether prompts prefer the targets that their first blocks name.
+ * @property loadBound outstanding prefill tokens over the average up to which a target keeps its prefix affinity.
+ * @property loadBoundTokens outstanding prefill tokens that never break prefix affinity.
+ */
+data class LengthAware(
+    val choices: Int = 2,
+    val minLongShare: Double = 0.15,
+    val maxLongShare: Double = 0.5,
+    val prefixAffinity: Boolean = true,
+    val loadBound: Double = 1.25,
+    val loadBoundTokens: Long = 8_000,
+) : PlacementPolicy {
+    override val setting
+        get() = "length-aware"
+
+    override fun rank(
+        demand: Demand,
+        table: TargetTable,
+        turn: Long,
+        eligible: (TargetView) -> Boolean,
+    ): List<TargetId> {
+        if (table.size == 0) return emptyList()
+        val search = Search(demand, table, turn, eligible)
+        val share = longShare(table)
+        val long = demand.lengthClass == LengthClass.LONG
+        if (prefixAffinity) search.offerPrefixTarget(if (long) share else table.size)
+        when {
+            long -> search.draw(0, share)
+            table.longPrefills > 0 -> search.draw(share, table.size)
+            else -> search.draw(0, table.size)
+        }
+        if (search.lacksRoom()) search.draw(0, table.size)
+        if (search.lacksRoom()) search.scan()
+        return search.ids()
+    }
+
+    override fun priorityOf(
+        demand: Demand,
+        waitedMillis: Long,
+    ): Int = demand.lengthClass.ordinal * PRIORITY_STEP_PER_CLASS - (waitedMillis / AGEING_STEP_MILLIS).toInt()
+
+    /** Positions from zero that long prompts use: one more than have long work, within the bounds. */
+    private fun longShare(table: TargetTable): Int {
+        val least = ceil(table.size * minLongShare).toInt()
+        val most = ceil(table.size * maxLongShare).toInt()
+        return (table.longPrefills + 1).coerceIn(least, most)
+    }
+
+    /** One decision in progress. */
+    private inner class Search(
+        private val demand: Demand,
+        private val table: TargetTable,
+        turn: Long,
+        private val eligible: (TargetView) -> Boolean,
+    ) {
+        private val shortlist = Shortlist()
+        private var random = mix(turn xor stableHash(demand.request.value))
+        private var roomy = false
+
+        /** Whether no target with room was found yet, or too few to choose from. */
+        fun lacksRoom() = !roomy
+
+        fun ids() = shortlist.ids()
+
+        /** Offers [choices] eligible targets drawn from the positions [from] until [until]. */
+        fun draw(
+            from: Int,
+            until: Int,
+        ) {
+            if (from >= until) return
+            var left = choices
+            repeat(choices * DRAW_ATTEMPTS_PER_CHOICE) {
+                if (left == 0) return
+                random = mix(random + 1)
+                val view = table.at(from + random.mod(until - from))
+                if (eligible(view)) {
+                    offer(view, cost(view))
+                    left--
+                }
+            }
+        }
+
+        /** Offers every eligible target; only needed when drawing found none with room. */
+        fun scan() {
+            val first = random.mod(table.size)
+            for (step in 0 until table.size) {
+                val view = table.at((first + step) % table.size)
+                if (eligible(view)) offer(view, cost(view))
+            }
+        }
+
+        /**
+         * Offers the target below position [until] that the prompt's first blocks name, ahead of all others.
+         * The deepest block at a power of two names it, so that a thread that grows rarely changes its target.
+         */
+        fun offerPrefixTarget(until: Int) {
+            val blocks = demand.prefixBlocks
+            if (blocks.isEmpty()) return
+            val key = blocks[Integer.highestOneBit(blocks.size) - 1]
+            val view = if (until == table.size) nearest(key) else candidate(jumpHash(key, until))
+            view?.let { offer(it, NO_COST) }
+        }
+
+        /** Of the few targets that follow [key], the one with the highest weight for it. */
+        private fun nearest(key: Long): TargetView? {
+            val start = table.positionOf(mix(key))
+            var best: TargetView? = null
+            var bestWeight = Long.MIN_VALUE
+            for (step in 0 until minOf(PREFIX_NEIGHBOURS, table.size)) {
+                val position = (start + step) % table.size
+                val weight = mix(key xor table.hashAt(position))
+                val view = candidate(position)
+                if (view != null && weight > bestWeight) {
+                    best = view
+                    bestWeight = weight
+                }
+            }
+            return best
+        }
+
+        private fun candidate(position: Int): TargetView? = table.at(position).takeIf { eligible(it) && withinLoadBound(it) }
+
+        private fun withinLoadBound(view: TargetView): Boolean {
+            val average = table.outstandingPrefillTokens.toDouble() / table.size
+            val bound = maxOf(loadBoundTokens.toDouble(), average * loadBound)
+            return view.outstandingPrefillTokens <= bound && view.longPrefills == 0 && view.hasRoomFor(demand)
+        }
+
+        private fun offer(
+            view: TargetView,
+            cost: Long,
+        ) {
+            shortlist.offer(view, cost)
+            roomy = roomy || view.hasRoomFor(demand)
+        }
+
+        private fun cost(view: TargetView): Long {
+            val work = view.outstandingPrefillTokens + view.outstandingRequests * COST_PER_REQUEST
+            return if (view.hasRoomFor(demand)) work else work + FULL_COST
+        }
+    }
+}
