--- /dev/null
+++ b/model/src/main/kotlin/yuccaferry/model/admin/AdminError.kt
@@ -0,0 +1,75 @@
+// Errors of the admin API and the JSON format shared by its two ends.
+package yuccaferry.model.admin
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import yuccaferry.model.ConfigurationVersion
+import yuccaferry.model.Problem
+
+/** JSON of the admin API: absent values are written as null, fields of later releases are passed over. */
+val AdminJson =
+    Json {
+        encodeDefaults = true
+        ignoreUnknownKeys = true
+    }
+
+/** Stable error codes of the admin API, with the HTTP status each is sent with. */
+@Serializable
+enum class AdminErrorCode(
+    val httpStatus: Int,
+) {
+    @SerialName("invalid_request")
+    INVALID_REQUEST(400),
+
+    @SerialName("unauthorised")
+    UNAUTHORISED(401),
+
+    @SerialName("not_found")
+    NOT_FOUND(404),
+
+    @SerialName("unknown_zone")
+    UNKNOWN_ZONE(404),
+
+    @SerialName("conflict")
+    CONFLICT(409),
+
+    @SerialName("body_too_large")
+    BODY_TOO_LARGE(413),
+
+    @SerialName("invalid_file")
+    INVALID_FILE(422),
+
+    @SerialName("internal")
+    INTERNAL(500),
+
+    /** The change certainly had no effect. */
+    @SerialName("store_unavailable")
+    STORE_UNAVAILABLE(503),
+
+    /** The change may have taken effect or may still do so; a repeat with the same attempt id is safe. */
+    @SerialName("outcome_unknown")
+    OUTCOME_UNKNOWN(503),
+}
+
+/**
+ * Why an operator's call failed.
+ *
+ * @property problems faults of the file, for [AdminErrorCode.INVALID_FILE].
+ * @property currentVersion version that stands instead, for [AdminErrorCode.CONFLICT].
+ * @property changes what the refused file would change against [currentVersion].
+ */
+@Serializable
+data class AdminError(
+    val code: AdminErrorCode,
+    val message: String,
+    val problems: List<Problem> = emptyList(),
+    val currentVersion: ConfigurationVersion? = null,
+    val changes: List<FileChange> = emptyList(),
+)
+
+/** The body of every answer that is not a success. */
+@Serializable
+data class ErrorAnswer(
+    val error: AdminError,
+)
--- /dev/null
+++ b/model/src/main/kotlin/yuccaferry/model/admin/ConfigurationDocuments.kt
@@ -0,0 +1,68 @@
+// Documents of the admin API about the configuration, shared by the daemon and its command line.
+package yuccaferry.model.admin
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonElement
+import yuccaferry.model.Address
+import yuccaferry.model.ConfigurationVersion
+import yuccaferry.model.RegionName
+
+/**
+ * One difference between two operators' files.
+ *
+ * @property path JSON path of the value; indexes are those of the later file, or of the earlier one for a removed entry.
+ * @property from the value before, null when there was none.
+ * @property to the value after, null when there is none.
+ */
+@Serializable
+data class FileChange(
+    val path: String,
+    val from: JsonElement? = null,
+    val to: JsonElement? = null,
+)
+
+/** How far a change of configuration has come. */
+@Serializable
+enum class ChangeState {
+    /** A majority of the daemons of each region hold the change; no daemon can lose it or serve without it for long. */
+    @SerialName("accepted")
+    ACCEPTED,
+
+    /** The change is stored and will come into force, but too few daemons have confirmed it so far. */
+    @SerialName("pending")
+    PENDING,
+}
+
+/** Answer to a change that was stored. */
+@Serializable
+data class ChangeAnswer(
+    val version: ConfigurationVersion,
+    val state: ChangeState,
+)
+
+/** What applying a file would change against version [base]. */
+@Serializable
+data class FileDiff(
+    val base: ConfigurationVersion,
+    val changes: List<FileChange>,
+)
+
+/**
+ * One daemon of the fleet.
+ *
+ * @property version configuration in force there, null when the daemon could not be reached.
+ */
+@Serializable
+data class FleetMember(
+    val address: Address,
+    val region: RegionName,
+    val version: ConfigurationVersion?,
+)
+
+/** The daemons that the answering daemon knows, itself included. */
+@Serializable
+data class FleetAnswer(
+    val version: ConfigurationVersion,
+    val members: List<FleetMember>,
+)
