--- /dev/null
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/seats/SeatSettings.kt
@@ -0,0 +1,30 @@
+// Times and sizes of the control of seats, with their units.
+package yuccaferry.decisions.seats
+
+/**
+ * Settings that must be equal on all daemons of a fleet.
+ *
+ * @property seatsPerRegion seats into which a region's targets are divided.
+ * @property leaseMillis time to live of a daemon's lease.
+ * @property leaseMarginMillis a lease counts as lapsed this long before its end, for clocks that run at unequal rates.
+ * @property attestationMillis validity of one attestation, from before it was asked for.
+ * @property attestationMarginMillis a claimant waits this much longer than the remaining validity.
+ * @property grantWindowMillis longest time between the giving and the last use of a grant; waited out after a claim.
+ * @property absenceGraceMillis a daemon record must have been seen absent for this long before its seats are claimed.
+ * @property continuationLimitMillis longest time for which a daemon without a lease acts or attests.
+ * @property rosterSize most members of a roster.
+ */
+data class SeatSettings(
+    val seatsPerRegion: Int = 64,
+    val leaseMillis: Long = 15_000,
+    val leaseMarginMillis: Long = 500,
+    val attestationMillis: Long = 5_000,
+    val attestationMarginMillis: Long = 250,
+    val grantWindowMillis: Long = GRANT_WINDOW_MILLIS,
+    val absenceGraceMillis: Long = 4_000,
+    val continuationLimitMillis: Long = 3_600_000,
+    val rosterSize: Int = 9,
+)
+
+/** Longest time in milliseconds between the giving of a grant and its last use. */
+const val GRANT_WINDOW_MILLIS = 2_000L
