--- /dev/null
+++ b/adapter-peer/src/main/kotlin/yuccaferry/peer/GrantWire.kt
@@ -0,0 +1,138 @@
+// Messages about grants as they travel: flat, numbered by position, so that a grant costs some hundred bytes.
+package yuccaferry.peer
+
+import kotlinx.serialization.Serializable
+import yuccaferry.daemon.port.AskAnswer
+import yuccaferry.daemon.port.AskRequest
+import yuccaferry.daemon.port.ReleaseNotice
+import yuccaferry.decisions.grants.Ask
+import yuccaferry.decisions.grants.Denial
+import yuccaferry.decisions.grants.TargetSummary
+import yuccaferry.decisions.grants.UseOutcome
+import yuccaferry.model.AccountName
+import yuccaferry.model.ConfigurationVersion
+import yuccaferry.model.DaemonId
+import yuccaferry.model.Epoch
+import yuccaferry.model.RequestId
+import yuccaferry.model.TargetId
+
+@Serializable
+internal class WireAsk(
+    val target: String,
+    val request: String,
+    val owner: String,
+    val account: String,
+    val holdTokens: Long,
+    val prefillTokens: Long,
+    val long: Boolean,
+    val priority: Int,
+    val weight: Int,
+    val timeLeftMillis: Long,
+    val waitMillis: Long,
+    val configuration: Long,
+)
+
+@Serializable
+internal class WireAskAnswer(
+    val kind: Int,
+    val configuration: Long,
+    val epoch: Long = 0,
+    val queuedMillis: Long = 0,
+    val denial: Int = 0,
+    val summary: WireSummary? = null,
+)
+
+@Serializable
+internal class WireSummary(
+    val target: String,
+    val running: Int,
+    val waiting: Int,
+    val room: Int,
+    val heldTokens: Long,
+    val prefillTokens: Long,
+    val longPrefills: Int,
+    val warm: Boolean,
+    val open: Boolean,
+)
+
+@Serializable
+internal class WireSummaries(
+    val summaries: List<WireSummary> = emptyList(),
+)
+
+@Serializable
+internal class WireRelease(
+    val target: String,
+    val request: String,
+    val outcome: Int,
+)
+
+@Serializable
+internal class WireNothing
+
+private const val GIVEN = 1
+private const val DENIED = 2
+private const val NOT_DECIDING = 3
+
+internal fun AskRequest.toWire() =
+    WireAsk(
+        target = target.value,
+        request = ask.request.value,
+        owner = ask.owner.value,
+        account = ask.account.value,
+        holdTokens = ask.holdTokens,
+        prefillTokens = ask.prefillTokens,
+        long = ask.long,
+        priority = ask.priority,
+        weight = ask.weight,
+        timeLeftMillis = ask.timeLeftMillis,
+        waitMillis = waitMillis,
+        configuration = configuration.value,
+    )
+
+internal fun WireAsk.toDomain() =
+    AskRequest(
+        target = TargetId(target),
+        ask =
+            Ask(
+                request = RequestId(request),
+                owner = DaemonId(owner),
+                account = AccountName(account),
+                holdTokens = holdTokens,
+                prefillTokens = prefillTokens,
+                long = long,
+                priority = priority,
+                weight = weight,
+                timeLeftMillis = timeLeftMillis,
+            ),
+        waitMillis = waitMillis,
+        configuration = ConfigurationVersion(configuration),
+    )
+
+internal fun AskAnswer.toWire(): WireAskAnswer {
+    val version = configuration.value
+    return when (this) {
+        is AskAnswer.Given -> WireAskAnswer(GIVEN, version, epoch.value, queuedMillis, summary = summary.toWire())
+        is AskAnswer.Denied -> WireAskAnswer(DENIED, version, denial = denial.ordinal, summary = summary.toWire())
+        is AskAnswer.NotDeciding -> WireAskAnswer(NOT_DECIDING, version)
+    }
+}
+
+internal fun WireAskAnswer.toDomain(): AskAnswer {
+    val version = ConfigurationVersion(configuration)
+    val state = summary?.toDomain()
+    return when {
+        kind == GIVEN && state != null -> AskAnswer.Given(version, Epoch(epoch), queuedMillis, state)
+        kind == DENIED && state != null -> AskAnswer.Denied(version, Denial.entries[denial], state)
+        else -> AskAnswer.NotDeciding(version)
+    }
+}
+
+internal fun TargetSummary.toWire() = WireSummary(target.value, running, waiting, room, heldTokens, prefillTokens, longPrefills, warm, open)
+
+internal fun WireSummary.toDomain() =
+    TargetSummary(TargetId(target), running, waiting, room, heldTokens, prefillTokens, longPrefills, warm, open)
+
+internal fun ReleaseNotice.toWire() = WireRelease(target.value, request.value, outcome.ordinal)
+
+internal fun WireRelease.toDomain() = ReleaseNotice(TargetId(target), RequestId(request), UseOutcome.entries[outcome])
--- /dev/null
+++ b/adapter-peer/src/main/kotlin/yuccaferry/peer/GrpcGrantPeers.kt
@@ -0,0 +1,65 @@
+// Calls about grants between daemons over gRPC.
+package yuccaferry.peer
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import io.grpc.ServerServiceDefinition
+import io.grpc.kotlin.ServerCalls
+import kotlinx.coroutines.CoroutineScope
+import yuccaferry.daemon.port.AskAnswer
+import yuccaferry.daemon.port.AskRequest
+import yuccaferry.daemon.port.GrantPeerHandler
+import yuccaferry.daemon.port.GrantPeers
+import yuccaferry.daemon.port.PeerError
+import yuccaferry.daemon.port.ReleaseNotice
+import yuccaferry.decisions.grants.TargetSummary
+import yuccaferry.model.Address
+
+private const val SERVICE = "Grants"
+private const val CALL_TIMEOUT_MILLIS = 1_000L
+
+private val askMethod = peerMethod(SERVICE, "Ask", WireAsk.serializer(), WireAskAnswer.serializer())
+private val releaseMethod = peerMethod(SERVICE, "Release", WireRelease.serializer(), WireNothing.serializer())
+private val shareMethod = peerMethod(SERVICE, "Share", WireSummaries.serializer(), WireNothing.serializer())
+
+/** Asks peers over [channels]. */
+class GrpcGrantPeers(
+    private val channels: PeerChannels,
+) : GrantPeers {
+    override suspend fun ask(
+        peer: Address,
+        request: AskRequest,
+    ): Result<AskAnswer, PeerError> =
+        channels.call(peer, askMethod, request.toWire(), request.waitMillis + CALL_TIMEOUT_MILLIS).map { it.toDomain() }
+
+    override suspend fun release(
+        peer: Address,
+        notice: ReleaseNotice,
+    ): Result<Unit, PeerError> = channels.call(peer, releaseMethod, notice.toWire(), CALL_TIMEOUT_MILLIS).map { }
+
+    override suspend fun share(
+        peer: Address,
+        summaries: List<TargetSummary>,
+    ): Result<Unit, PeerError> = channels.call(peer, shareMethod, WireSummaries(summaries.map { it.toWire() }), CALL_TIMEOUT_MILLIS).map { }
+}
+
+/** The service by which peers ask [handler]. */
+fun grantPeerService(
+    scope: CoroutineScope,
+    handler: GrantPeerHandler,
+): ServerServiceDefinition =
+    ServerServiceDefinition
+        .builder("yuccaferry.$SERVICE")
+        .addMethod(
+            ServerCalls.unaryServerMethodDefinition(scope.coroutineContext, askMethod) { handler.ask(it.toDomain()).toWire() },
+        ).addMethod(
+            ServerCalls.unaryServerMethodDefinition(scope.coroutineContext, releaseMethod) {
+                handler.release(it.toDomain())
+                WireNothing()
+            },
+        ).addMethod(
+            ServerCalls.unaryServerMethodDefinition(scope.coroutineContext, shareMethod) { request ->
+                handler.share(request.summaries.map { it.toDomain() })
+                WireNothing()
+            },
+        ).build()
--- /dev/null
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/grants/GrantSeatState.kt
@@ -0,0 +1,48 @@
+// Moves the grants of a seat between deciders, and rebuilds them when the previous decider is gone.
+package yuccaferry.daemon.grants
+
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import yuccaferry.daemon.control.SeatState
+import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.Severity
+import yuccaferry.daemon.port.Telemetry
+import yuccaferry.decisions.seats.SeatId
+import yuccaferry.model.Epoch
+import yuccaferry.model.TargetKind
+
+/** The grants of [decider] as the control of seats moves them. */
+class GrantSeatState(
+    private val decider: GrantDecider,
+    private val observer: TargetObserver,
+    private val telemetry: Telemetry,
+) : SeatState {
+    override suspend fun export(seat: SeatId): ByteArray = Json.encodeToString(decider.export(seat)).encodeToByteArray()
+
+    override suspend fun import(
+        seat: SeatId,
+        epoch: Epoch,
+        grants: ByteArray,
+    ) {
+        try {
+            decider.import(Json.decodeFromString(grants.decodeToString()))
+        } catch (e: SerializationException) {
+            telemetry.event("grants_unreadable", Field("seat", seat), Field("error", e.message), severity = Severity.ERROR)
+        }
+        recover(seat, epoch)
+    }
+
+    /** Engines list exactly what they hold, and unused grants have expired, so listing is all that recovery takes. */
+    override suspend fun recover(
+        seat: SeatId,
+        epoch: Epoch,
+    ) = coroutineScope {
+        val engines = decider.targetsOf(seat).filter { it.kind == TargetKind.ENGINE }
+        engines.map { launch { observer.observe(it) } }.joinAll()
+    }
+
+    override fun lost(seat: SeatId) = decider.lost(seat)
+}
--- a/daemon/src/main/kotlin/yuccaferry/daemon/port/TargetAccess.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/port/TargetAccess.kt
@@ -9,16 +9,18 @@
 import yuccaferry.decisions.placement.Demand
 import yuccaferry.model.Epoch
 import yuccaferry.model.MonotonicTime
+import yuccaferry.model.RequestId
 import yuccaferry.model.Target
 import yuccaferry.model.TargetId
 
 /**
  * The right to start one piece of work on [target].
  *
+ * @property request the work that the grant is for.
  * @property useBy the work must have been sent before this time, or not at all.
  */
 data class Grant(
-    val number: Long,
+    val request: RequestId,
     val target: Target,
     val epoch: Epoch,
     val useBy: MonotonicTime,
@@ -32,6 +34,11 @@
     /** Targets exist but none had room before the deadline. */
     data object Full : AccessRefusal
 
+    /** The work needs more memory than any one target has; the largest has [kvTokens] tokens. */
+    data class TooLarge(
+        val kvTokens: Long,
+    ) : AccessRefusal
+
     /** This daemon can't confirm that its configuration and seats are current. */
     data class NotConfirmed(
         val reason: String,
--- a/daemon/src/main/kotlin/yuccaferry/daemon/request/GenerationService.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/request/GenerationService.kt
@@ -322,6 +322,15 @@
             Refusal(RefusalCode.NO_CAPACITY, "no target had room before the deadline", Execution.NOT_RUN, retryAfterSeconds = 1)
         }
 
+        is AccessRefusal.TooLarge -> {
+            Refusal(
+                RefusalCode.NO_CAPACITY,
+                "the prompt and its answer need more memory than any target has (${refusal.kvTokens} tokens)",
+                Execution.NOT_RUN,
+                repeatable = false,
+            )
+        }
+
         is AccessRefusal.NotConfirmed -> {
             Refusal(RefusalCode.NOT_READY, refusal.reason, Execution.NOT_RUN, retryAfterSeconds = 1)
         }
--- a/decisions/src/main/kotlin/yuccaferry/decisions/grants/TargetBook.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/grants/TargetBook.kt
@@ -32,6 +32,7 @@
     val given: MonotonicTime,
     val until: MonotonicTime,
     val listed: Boolean = false,
+    val ended: MonotonicTime? = null,
 )
 
 /** Grants of one target; not thread-safe. */
@@ -68,17 +69,30 @@
         queue.remove(request)
     }
 
-    /** Records the end of the use of a grant. */
+    /**
+     * Records the end of the use of a grant. Work that failed may still hold its part of a target that lists its work;
+     * it counts until the target is seen without it.
+     */
     fun release(
         request: RequestId,
         outcome: UseOutcome,
         now: MonotonicTime,
     ): List<GrantEffect> {
-        if (entries.remove(request) == null) return emptyList()
+        val entry = entries[request] ?: return emptyList()
         when (outcome) {
-            UseOutcome.SUCCEEDED -> succeeded()
-            UseOutcome.TARGET_FAILED -> failed(now)
-            UseOutcome.UNUSED, UseOutcome.CANCELLED -> Unit
+            UseOutcome.SUCCEEDED -> {
+                entries.remove(request)
+                succeeded()
+            }
+
+            UseOutcome.UNUSED, UseOutcome.CANCELLED -> {
+                entries.remove(request)
+            }
+
+            UseOutcome.TARGET_FAILED -> {
+                if (limits.observable) entries[request] = entry.copy(ended = now) else entries.remove(request)
+                failed(now)
+            }
         }
         return serve(now)
     }
@@ -92,14 +106,14 @@
         observed = asked
         limit.observe(observation.incarnation, observation.warm)
         val listed = observation.work.associateBy { it.request }
-        entries.values.removeAll { it.request !in listed && (it.listed || asked - it.given > UNLISTED_MILLIS) && asked > it.given }
+        entries.values.removeAll { it.request !in listed && hasEnded(it, asked) }
         listed.values.forEach { merge(it, now) }
         return serve(now)
     }
 
-    /** Records that the target could not be asked. */
-    fun unreachable(now: MonotonicTime) {
-        failed(now)
+    /** Records that the target could not be asked: nothing is granted until it answers again. */
+    fun unreachable() {
+        observed = null
     }
 
     /** Says whether the target may be given new work; work in progress goes on. */
@@ -213,6 +227,16 @@
             BookEntry(ask.request, ask.owner, ask.holdTokens, ask.prefillTokens, ask.long, given = now, until = until)
     }
 
+    /** Whether [entry], which the target did not list when it was asked at [asked], holds nothing any more. */
+    private fun hasEnded(
+        entry: BookEntry,
+        asked: MonotonicTime,
+    ): Boolean {
+        if (entry.ended != null) return asked >= entry.ended
+        if (asked <= entry.given) return false
+        return entry.listed || asked - entry.given > UNLISTED_MILLIS
+    }
+
     private fun merge(
         work: ObservedWork,
         now: MonotonicTime,
@@ -242,6 +266,7 @@
 
     private fun failed(now: MonotonicTime) {
         limit.failed()
+        observed = null
         pausedUntil = now + pauseMillis
         pauseMillis = minOf(LONGEST_PAUSE_MILLIS, pauseMillis * 2)
     }
