Add the stand-ins: engine, plain service, key-value service, instance list, TCP proxy

The thin path, the tests and the benchmark need the outside systems as processes of their own with faults that can be set while they run.

The engine's work is simulated by due times, not by threads: one timer per engine wakes at the end of a prefill chunk or at a decode tick, and catches up when it is late, so that dozens of engines fit on one machine. Its crash is inside the process (all connections dropped, calls closed without an answer until the restart is over), as a restart of the JVM would take longer than the failures it has to imitate.

--- /dev/null
+++ b/standin/src/main/kotlin/yuccaferry/standin/Main.kt
@@ -0,0 +1,22 @@
+/*
+ * Entry point of `yuccaferry-standin`: one subcommand for each outside system that a stand-in replaces
+ * in the demo, the tests and the benchmark.
+ */
+package yuccaferry.standin
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+import yuccaferry.standin.engine.EngineCommand
+import yuccaferry.standin.instances.InstancesCommand
+import yuccaferry.standin.keyvalue.KeyValueCommand
+import yuccaferry.standin.proxy.ProxyCommand
+import yuccaferry.standin.service.ServiceCommand
+
+/** Runs the stand-in that the first argument names, until the process is ended. */
+@OptIn(ExperimentalCli::class)
+fun main(args: Array<String>) {
+    System.setProperty("log4j2.configurationFile", "log4j2-standin.xml")
+    val parser = ArgParser("yuccaferry-standin")
+    parser.subcommands(EngineCommand(), ServiceCommand(), KeyValueCommand(), InstancesCommand(), ProxyCommand())
+    parser.parse(args)
+}
--- /dev/null
+++ b/standin/src/main/kotlin/yuccaferry/standin/engine/AnswerStream.kt
@@ -0,0 +1,92 @@
+// Writes one answer as server-sent events, with the faults of its request.
+package yuccaferry.standin.engine
+
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeStringUtf8
+import kotlinx.serialization.Serializable
+import yuccaferry.standin.server.ErrorDetail
+import yuccaferry.standin.standInJson
+
+private const val CROSSED_PROMPT = "the prompt of another request"
+
+/** How a stream came to its end. */
+internal enum class StreamEnd { COMPLETE, TRUNCATED, BROKEN }
+
+@Serializable
+private class FailedEvent(
+    val id: String,
+    val error: ErrorDetail,
+)
+
+/** Stream of one request. */
+internal class AnswerStream(
+    private val out: ByteWriteChannel,
+    private val model: String,
+    private val chat: Boolean,
+    private val job: Job,
+    private val faults: EngineFaults,
+) {
+    private val id = standInJson.encodeToString(job.holder.id)
+    private val foreignId = standInJson.encodeToString("other-${job.holder.id}")
+    private var pieces = 0
+
+    /** Copies the output of the job until it ends or a fault ends the stream. */
+    suspend fun copy(): StreamEnd {
+        for (output in job.output) {
+            if (output is Output.Piece && pieces == faults.dieAfterPieces) return StreamEnd.BROKEN
+            if (output is Output.Piece && pieces == faults.truncate) return StreamEnd.TRUNCATED
+            when (output) {
+                is Output.Piece -> piece(output)
+                is Output.Finished -> return finish(output)
+                is Output.Ended -> return fail(output)
+                is Output.Prefilled -> Unit
+                Output.Crashed -> return StreamEnd.BROKEN
+            }
+            if (job.output.isEmpty) out.flush()
+        }
+        return StreamEnd.BROKEN
+    }
+
+    @OptIn(kotlinx.coroutines.ExperimentalCoroutinesApi::class)
+    private suspend fun piece(output: Output.Piece) {
+        pieces++
+        if (output.number == faults.dropPiece) return
+        event(output)
+        if (output.number == faults.duplicatePiece) event(output)
+    }
+
+    private suspend fun event(output: Output.Piece) {
+        val crossed = faults.crossRequestIds
+        val text = if (crossed) PieceText.piece(model, CROSSED_PROMPT, output.number) else output.text
+        write(
+            """{"id":${if (crossed) foreignId else id},"piece":${output.number},"choices":[{"index":0,${content(
+                text,
+            )},"finish_reason":null}]}""",
+        )
+    }
+
+    private suspend fun finish(output: Output.Finished): StreamEnd {
+        val usage =
+            """{"prompt_tokens":${output.promptTokens},"completion_tokens":${output.pieces},""" +
+                """"cached_tokens":${output.cachedTokens}}"""
+        write("""{"id":$id,"piece":${output.pieces},"choices":[{"index":0,${content("")},"finish_reason":"length"}],"usage":$usage}""")
+        write("[DONE]")
+        out.flush()
+        return StreamEnd.COMPLETE
+    }
+
+    private suspend fun fail(output: Output.Ended): StreamEnd {
+        write(standInJson.encodeToString(FailedEvent(job.holder.id, ErrorDetail(output.code, output.message))))
+        out.flush()
+        return StreamEnd.COMPLETE
+    }
+
+    private fun content(text: String): String {
+        val quoted = standInJson.encodeToString(text)
+        return if (chat) """"delta":{"content":$quoted}""" else """"text":$quoted"""
+    }
+
+    private suspend fun write(data: String) {
+        out.writeStringUtf8("data: $data\n\n")
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/yuccaferry/standin/engine/Engine.kt
@@ -0,0 +1,320 @@
+/*
+ * A model engine in simulated work: one run after the other, each with a batch, KV memory and a prefix cache. It
+ * crashes when it is cold and given more than it bears.
+ */
+package yuccaferry.standin.engine
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import java.util.UUID
+
+private const val NANOS_PER_MILLI = 1_000_000L
+private const val WAITING_LIMIT = 1_024
+
+/** Told when work may be due earlier than [Engine.advance] last said, and when the engine crashed. */
+internal interface EngineListener {
+    fun workAdded() = Unit
+
+    fun crashed() = Unit
+}
+
+/** One engine; safe for concurrent use. [clock] is monotonic, in nanoseconds. */
+internal class Engine(
+    val settings: EngineSettings,
+    private val clock: () -> Long,
+    private val listener: EngineListener,
+) {
+    private val name = UUID.randomUUID().toString().take(8)
+    private val memory = KvMemory(settings.kvTokens)
+    private val records = EngineRecords()
+    private val batch = Batch(settings, memory, ::ended)
+    private val exports = mutableMapOf<String, Export>()
+    private var state = LoadedState(settings.model, settings.version)
+    private var warm = settings.startWarm
+    private var finishedSinceCold = 0
+    private var crashes = 0
+    private var downUntil = Long.MIN_VALUE
+    private var highestEpoch = Long.MIN_VALUE
+    private var numbers = 0L
+    private var faults = EngineFaults()
+    private var reportedAt = clock()
+    private var report = load()
+
+    private val incarnation get() = "${settings.name}-$name-$crashes"
+
+    /** Whether the engine answers at all, which it does not for a while after a crash. */
+    @Synchronized
+    fun available(): Boolean = clock() >= downUntil
+
+    /** Accepts a completion, or says why not. [stalled] work is held and never done. */
+    @Synchronized
+    fun submit(
+        request: CompletionRequest,
+        stalled: Boolean = false,
+    ): Result<Job, Refused> {
+        val text = request.prompt ?: request.messages?.toString() ?: return refuse(400, "invalid_request", "neither prompt nor messages")
+        if (request.model != state.model) return refuse(404, "model_not_loaded", "${state.model} is loaded")
+        val whole = PromptTokens.of(request.model, text)
+        val own = (whole.tokens - request.gangTokens).coerceAtLeast(0)
+        val prompt = if (request.gangTokens == 0L) whole else PromptTokens(whole.seed, whole.tokens, LongArray(0))
+        val job =
+            Job(
+                holder = holder(request.requestId, request.owner, request.epoch, request.deadlineMs),
+                gang = null,
+                priority = request.priority,
+                number = ++numbers,
+                prompt = prompt,
+                needTokens = own + request.maxTokens,
+                prefillTokens = own + PromptTokens.tokens(request.deliveredText),
+                firstPiece = request.firstPiece,
+                pieces = request.maxTokens,
+                stalled = stalled,
+            )
+        return accept(job, request.epoch)
+    }
+
+    /** Accepts a segment, or says why not. */
+    @Synchronized
+    fun submit(request: SegmentRequest): Result<Job, Refused> {
+        val prompt = PromptTokens.of(state.model, request.text)
+        val job =
+            Job(
+                holder = holder(request.requestId, request.owner, request.epoch, request.deadlineMs),
+                gang = request.gangId,
+                priority = request.priority,
+                number = ++numbers,
+                prompt = prompt,
+                needTokens = prompt.tokens,
+                prefillTokens = prompt.tokens,
+                firstPiece = 0,
+                pieces = 0,
+                stalled = false,
+            )
+        return accept(job, request.epoch)
+    }
+
+    /** Cancels every attempt of [id]; false if there is none. */
+    @Synchronized
+    fun cancel(id: String): Boolean {
+        val found = batch.jobs.filter { it.gang == null && it.holder.id == id }
+        found.forEach { end(it, Ending.CANCELLED) }
+        return found.isNotEmpty()
+    }
+
+    /** Releases the segments of [gang] and returns how many there were. */
+    @Synchronized
+    fun releaseGang(gang: String): Int {
+        val found = batch.jobs.filter { it.gang == gang }
+        found.forEach { end(it, Ending.RELEASED) }
+        return found.size
+    }
+
+    /** Exports the KV cache of a request that is past its prefill. */
+    @Synchronized
+    fun export(request: ExportRequest): Result<Exported, Refused> {
+        fenced(request.epoch)?.let { return Err(it) }
+        val job = batch.jobs.firstOrNull { it.holder.id == request.requestId && it.prefillLeft <= 0L }
+        if (job == null) return refuse(400, "invalid_request", "no request ${request.requestId} past its prefill")
+        if (!memory.reserve(job.prompt.tokens)) return refuse(503, "out_of_memory", "no memory for the export")
+        val handle = "$incarnation-x${++numbers}"
+        exports[handle] = Export(holder(handle, request.owner, request.epoch, request.deadlineMs), job.prompt.tokens, job.prompt.blocks)
+        return Ok(Exported(handle, job.prompt.tokens))
+    }
+
+    /** Contents of an export, null if there is none. */
+    @Synchronized
+    fun exported(handle: String): ExportBody? = exports[handle]?.let { ExportBody(it.tokens, it.blocks.toList()) }
+
+    /** Releases an export; false if there is none. */
+    @Synchronized
+    fun releaseExport(handle: String): Boolean {
+        val export = exports.remove(handle) ?: return false
+        memory.release(export.tokens)
+        listener.workAdded()
+        return true
+    }
+
+    /** Puts imported blocks into the prefix cache and returns the tokens that fitted. */
+    @Synchronized
+    fun import(body: ExportBody): Long = memory.store(body.blocks.toLongArray()).toLong() * BLOCK_TOKENS
+
+    /** Obeys an order, unless fencing is on and a higher epoch was seen. */
+    @Synchronized
+    fun order(request: OrderRequest): Result<LoadedState, Refused> {
+        fenced(request.epoch)?.let { return Err(it) }
+        val wanted = LoadedState(request.model, request.version, request.adapters, request.role)
+        if (wanted.model != state.model || wanted.version != state.version) {
+            memory.cache.clear()
+            turnCold()
+        }
+        if (wanted != state) records.order(wanted)
+        state = wanted
+        return Ok(state)
+    }
+
+    /** Everything that holds memory or waits for it. */
+    @Synchronized
+    fun requests(): RequestsBody {
+        val items = batch.jobs.map(::held) + exports.values.map(::held)
+        return RequestsBody(incarnation, warm, items)
+    }
+
+    /** The load report as it was last published. */
+    @Synchronized
+    fun report(): LoadBody {
+        if (settings.reportLagMs == 0L) publish()
+        return report.copy(ageMs = (clock() - reportedAt) / NANOS_PER_MILLI)
+    }
+
+    /** Cache events as last published. */
+    @Synchronized
+    fun cacheEvents(after: Long): CacheEventsBody {
+        val events = memory.cache.events(after)
+        return CacheEventsBody(events.lastOrNull()?.seq ?: after, events)
+    }
+
+    /** Makes load and cache events of now visible. */
+    @Synchronized
+    fun publish() {
+        reportedAt = clock()
+        report = load()
+        memory.cache.publish()
+    }
+
+    /** Replaces the faults and carries out those that happen once. */
+    @Synchronized
+    fun setFaults(new: EngineFaults) {
+        faults = new
+        batch.slowFactor = new.slowFactor
+        if (new.turnCold) turnCold()
+        if (new.crash) crash()
+    }
+
+    /** Faults of the next request; uses up one of the limited times. */
+    @Synchronized
+    fun takeFaults(): EngineFaults {
+        val current = faults
+        val left = current.times ?: return current
+        if (current.used) return EngineFaults()
+        faults = current.copy(times = left - 1)
+        return current
+    }
+
+    /** The engine's own records. */
+    @Synchronized
+    fun stats(): StatsBody = records.body(load(), memory, crashes)
+
+    /** Does all work due by now; returns nanoseconds until more is due, null if none is. */
+    @Synchronized
+    fun advance(): Long? {
+        val now = clock()
+        return batch.advance(now)?.let { it - clock() }
+    }
+
+    private fun accept(
+        job: Job,
+        epoch: Long?,
+    ): Result<Job, Refused> {
+        fenced(epoch)?.let { return Err(it) }
+        if (job.holder.deadline <= clock()) return refuse(410, "deadline_passed", "the deadline has passed")
+        if (job.needTokens > memory.capacity) return refuse(503, "out_of_memory", "needs ${job.needTokens} of ${memory.capacity} tokens")
+        if (batch.waiting >= WAITING_LIMIT) return refuse(503, "overloaded", "$WAITING_LIMIT requests wait already")
+        if (job.gang == null) records.accept(job.holder.id)
+        batch.add(job)
+        val active = batch.jobs.count { it.stage != Stage.HELD }
+        if (!warm) records.coldRequests(active)
+        if (!warm && active > settings.coldRequests) crash() else listener.workAdded()
+        return Ok(job)
+    }
+
+    private fun fenced(epoch: Long?): Refused? {
+        if (epoch == null || !settings.fencing) return null
+        if (epoch < highestEpoch) {
+            records.refuse("stale_epoch")
+            return Refused(409, "stale_epoch", "epoch $epoch is older than $highestEpoch")
+        }
+        highestEpoch = epoch
+        return null
+    }
+
+    private fun refuse(
+        status: Int,
+        code: String,
+        message: String,
+    ): Result<Nothing, Refused> {
+        records.refuse(code)
+        return Err(Refused(status, code, message))
+    }
+
+    private fun end(
+        job: Job,
+        ending: Ending,
+    ) {
+        batch.remove(job, ending)
+        job.emit(Output.Ended("cancelled", "cancelled by its owner"))
+        listener.workAdded()
+    }
+
+    private fun ended(
+        job: Job,
+        ending: Ending,
+    ) {
+        if (job.gang == null) records.end(job.holder.id, ending)
+        if (ending != Ending.FINISHED) return
+        finishedSinceCold++
+        if (finishedSinceCold >= settings.warmAfterRequests) warm = true
+    }
+
+    private fun turnCold() {
+        warm = false
+        finishedSinceCold = 0
+    }
+
+    private fun crash() {
+        crashes++
+        batch.crash()
+        exports.clear()
+        memory.clear()
+        turnCold()
+        highestEpoch = Long.MIN_VALUE
+        downUntil = clock() + settings.restartMs * NANOS_PER_MILLI
+        publish()
+        listener.crashed()
+    }
+
+    private fun holder(
+        id: String,
+        owner: String,
+        epoch: Long?,
+        deadlineMs: Long,
+    ) = Holder(id, owner, epoch ?: 0, clock() + deadlineMs * NANOS_PER_MILLI)
+
+    private fun held(job: Job) =
+        heldBody(if (job.gang == null) "request" else "segment", job.gang ?: job.holder.id, job.holder, job.tokens, job.prefillLeft)
+
+    private fun held(export: Export) = heldBody("export", export.holder.id, export.holder, export.tokens, 0)
+
+    private fun heldBody(
+        kind: String,
+        id: String,
+        holder: Holder,
+        tokens: Long,
+        prefillLeft: Long,
+    ) = HeldBody(kind, id, holder.owner, holder.epoch, tokens, prefillLeft, (holder.deadline - clock()) / NANOS_PER_MILLI)
+
+    private fun load() =
+        LoadBody(
+            incarnation = incarnation,
+            warm = warm,
+            model = state.model,
+            version = state.version,
+            adapters = state.adapters,
+            role = state.role,
+            kvTokens = memory.capacity,
+            kvUsedTokens = memory.used,
+            running = batch.running,
+            waiting = batch.waiting,
+            waitingPrefillTokens = batch.jobs.sumOf { it.prefillLeft },
+        )
+}
--- /dev/null
+++ b/standin/src/main/kotlin/yuccaferry/standin/engine/EngineApi.kt
@@ -0,0 +1,157 @@
+// Bodies of the calls and answers of a model engine.
+package yuccaferry.standin.engine
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonArray
+
+private const val DEFAULT_MAX_TOKENS = 16
+private const val DEFAULT_DEADLINE_MS = 600_000L
+
+/** Request of a completion or, with [messages], of a chat completion. */
+@Serializable
+internal class CompletionRequest(
+    val model: String,
+    val prompt: String? = null,
+    val messages: JsonArray? = null,
+    val maxTokens: Int = DEFAULT_MAX_TOKENS,
+    val requestId: String,
+    val owner: String = "",
+    val epoch: Long? = null,
+    val priority: Int = 0,
+    val deadlineMs: Long = DEFAULT_DEADLINE_MS,
+    val firstPiece: Int = 0,
+    val deliveredText: String = "",
+    val gangId: String? = null,
+    val gangTokens: Long = 0,
+)
+
+/** Request to prefill and hold one part of a prompt. */
+@Serializable
+internal class SegmentRequest(
+    val requestId: String,
+    val gangId: String,
+    val index: Int = 0,
+    val owner: String = "",
+    val epoch: Long? = null,
+    val text: String,
+    val priority: Int = 0,
+    val deadlineMs: Long = DEFAULT_DEADLINE_MS,
+)
+
+/** Request to export the KV cache of a running request. */
+@Serializable
+internal class ExportRequest(
+    val requestId: String,
+    val owner: String = "",
+    val epoch: Long? = null,
+    val deadlineMs: Long = DEFAULT_DEADLINE_MS,
+)
+
+/** Request to import an exported KV cache from the engine at [from]. */
+@Serializable
+internal class ImportRequest(
+    val handle: String,
+    val from: String,
+    val requestId: String = "",
+)
+
+/** State that an engine shall have. */
+@Serializable
+internal class OrderRequest(
+    val epoch: Long? = null,
+    val model: String,
+    val version: String,
+    val adapters: List<String> = emptyList(),
+    val role: String = "",
+)
+
+/** Answer to a cancel. */
+@Serializable
+internal class Cancelled(
+    val cancelled: Boolean,
+)
+
+/** Answer that counts tokens. */
+@Serializable
+internal class TokenCount(
+    val tokens: Long,
+)
+
+/** Answer to the release of a gang. */
+@Serializable
+internal class ReleasedSegments(
+    val released: Int,
+)
+
+/** Answer to the release of an export. */
+@Serializable
+internal class ReleasedExport(
+    val released: Boolean,
+)
+
+/** Answer to an export. */
+@Serializable
+internal class Exported(
+    val handle: String,
+    val tokens: Long,
+)
+
+/** Contents of an export. */
+@Serializable
+internal class ExportBody(
+    val tokens: Long,
+    val blocks: List<Long>,
+)
+
+/** One thing that holds memory or waits for it. */
+@Serializable
+internal data class HeldBody(
+    val kind: String,
+    val id: String,
+    val owner: String,
+    val epoch: Long,
+    val tokens: Long,
+    val prefillTokensLeft: Long,
+    val deadlineMs: Long,
+)
+
+/** All that holds memory or waits for it. */
+@Serializable
+internal data class RequestsBody(
+    val incarnation: String,
+    val warm: Boolean,
+    val items: List<HeldBody>,
+)
+
+/** Lagging report of load. */
+@Serializable
+internal data class LoadBody(
+    val incarnation: String,
+    val warm: Boolean,
+    val model: String,
+    val version: String,
+    val adapters: List<String>,
+    val role: String,
+    val kvTokens: Long,
+    val kvUsedTokens: Long,
+    val running: Int,
+    val waiting: Int,
+    val waitingPrefillTokens: Long,
+    val ageMs: Long = 0,
+)
+
+/** Changes of the prefix cache. */
+@Serializable
+internal class CacheEventsBody(
+    val last: Long,
+    val events: List<CacheEvent>,
+)
+
+/** State of an engine after an order. */
+@Serializable
+internal data class LoadedState(
+    val model: String,
+    val version: String,
+    val adapters: List<String> = emptyList(),
+    val role: String = "",
+)
--- /dev/null
+++ b/standin/src/main/kotlin/yuccaferry/standin/proxy/TcpProxy.kt
@@ -0,0 +1,175 @@
+/*
+ * TCP proxy that passes bytes on and can cut, hold or delay them. It knows nothing of the protocol, but that what
+ * goes to the target is a request and what comes back an answer.
+ */
+package yuccaferry.standin.proxy
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.network.sockets.port
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.readAvailable
+import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.getAndUpdate
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import yuccaferry.standin.server.HostPort
+import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+private const val BUFFER_BYTES = 16 * 1024
+
+/** Passes connections that arrive at [listen] on to [target]. */
+internal class TcpProxy(
+    private val listen: HostPort,
+    private val target: HostPort,
+) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val faults = MutableStateFlow(ProxyFaults())
+    private val open = ConcurrentHashMap.newKeySet<Connection>()
+    private val accepted = AtomicLong()
+    private val bytesUp = AtomicLong()
+    private val bytesDown = AtomicLong()
+    private val cuts = AtomicLong()
+    private lateinit var server: ServerSocket
+
+    /** Starts to accept connections and returns the address in use. */
+    suspend fun start(): HostPort {
+        server = aSocket(selector).tcp().bind(listen.host, listen.port)
+        scope.launch {
+            while (scope.isActive) accept(server.accept())
+        }
+        return HostPort(listen.host, server.port)
+    }
+
+    /** Ends the proxy and all connections. */
+    fun stop() {
+        server.close()
+        open.forEach { it.close() }
+        scope.cancel()
+        selector.close()
+    }
+
+    /** Replaces the faults. */
+    fun set(new: ProxyFaults) {
+        faults.value = new
+        if (new.cut) open.forEach(::cut)
+    }
+
+    /** Counts so far. */
+    fun stats() = ProxyStats(accepted.get(), open.size, bytesUp.get(), bytesDown.get(), cuts.get())
+
+    private fun accept(client: Socket) {
+        accepted.incrementAndGet()
+        if (faults.value.cut) {
+            cuts.incrementAndGet()
+            client.close()
+            return
+        }
+        scope.launch { connect(client) }
+    }
+
+    private suspend fun connect(client: Socket) {
+        val upstream =
+            try {
+                aSocket(selector).tcp().connect(InetSocketAddress(target.host, target.port)) { noDelay = true }
+            } catch (_: IOException) {
+                client.close()
+                return
+            }
+        val connection = Connection(client, upstream)
+        open += connection
+        if (faults.value.cut) cut(connection)
+        scope.launch { copy(connection, Direction.UP, client.openReadChannel(), upstream.openWriteChannel()) }
+        scope.launch { copy(connection, Direction.DOWN, upstream.openReadChannel(), client.openWriteChannel()) }
+    }
+
+    private suspend fun copy(
+        connection: Connection,
+        direction: Direction,
+        from: ByteReadChannel,
+        to: ByteWriteChannel,
+    ) {
+        val buffer = ByteArray(BUFFER_BYTES)
+        try {
+            while (true) {
+                val size = from.readAvailable(buffer)
+                if (size < 0) break
+                delay(faults.value.delayMs)
+                faults.first { !it.holds(direction) }
+                if (!pass(connection, direction, buffer, size, to)) break
+            }
+        } catch (_: IOException) {
+            connection.close()
+        } finally {
+            connection.close()
+            open -= connection
+        }
+    }
+
+    /** Passes [size] bytes on; false when a fault ended the connection. */
+    private suspend fun pass(
+        connection: Connection,
+        direction: Direction,
+        buffer: ByteArray,
+        size: Int,
+        to: ByteWriteChannel,
+    ): Boolean {
+        val allowed = if (direction == Direction.UP) takeRequestBytes(size) else takeAnswerBytes(size)
+        to.writeFully(buffer, 0, allowed.bytes)
+        to.flush()
+        (if (direction == Direction.UP) bytesUp else bytesDown).addAndGet(allowed.bytes.toLong())
+        if (allowed.cut) cut(connection)
+        return !allowed.cut
+    }
+
+    private class Allowed(
+        val bytes: Int,
+        val cut: Boolean,
+    )
+
+    private fun takeRequestBytes(size: Int): Allowed {
+        val before =
+            faults.getAndUpdate { current ->
+                val left = current.cutAfterRequestBytes ?: return@getAndUpdate current
+                current.copy(cutAfterRequestBytes = (left - size).takeIf { it > 0 })
+            }
+        val left = before.cutAfterRequestBytes ?: return Allowed(size, cut = false)
+        return if (left > size) Allowed(size, cut = false) else Allowed(left.toInt(), cut = true)
+    }
+
+    private fun takeAnswerBytes(size: Int): Allowed {
+        val before = faults.getAndUpdate { it.copy(dropAnswer = false) }
+        return if (before.dropAnswer) Allowed(0, cut = true) else Allowed(size, cut = false)
+    }
+
+    private fun cut(connection: Connection) {
+        cuts.incrementAndGet()
+        connection.close()
+    }
+
+    private class Connection(
+        private val client: Socket,
+        private val upstream: Socket,
+    ) {
+        fun close() {
+            client.close()
+            upstream.close()
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/yuccaferry/standin/service/ServiceCommand.kt
@@ -0,0 +1,131 @@
+/*
+ * Stand-in of a plain service whose calls may not all be repeated. It counts what it ran, so that a test can
+ * compare this with what callers were told.
+ */
+package yuccaferry.standin.service
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.path
+import io.ktor.server.request.receive
+import io.ktor.server.request.uri
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.put
+import io.ktor.server.routing.route
+import io.ktor.server.routing.routing
+import kotlinx.cli.ExperimentalCli
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.serialization.Serializable
+import yuccaferry.standin.StandInCommand
+import yuccaferry.standin.server.HostPort
+import yuccaferry.standin.server.StandInServer
+import yuccaferry.standin.server.closeConnection
+import yuccaferry.standin.server.receiveFaults
+import yuccaferry.standin.server.respondError
+import yuccaferry.standin.server.respondJson
+
+/**
+ * Faults of the service.
+ *
+ * @property delayBeforeMs wait before the call is counted.
+ * @property delayAfterMs wait between counting and answering.
+ * @property failStatus answered in place of a receipt, after counting.
+ * @property breakBeforeAnswer closes the connection after counting.
+ * @property hang never counts and never answers.
+ * @property times calls that have the faults; null for all.
+ */
+@Serializable
+internal data class ServiceFaults(
+    val delayBeforeMs: Long = 0,
+    val delayAfterMs: Long = 0,
+    val failStatus: Int? = null,
+    val breakBeforeAnswer: Boolean = false,
+    val hang: Boolean = false,
+    val times: Int? = null,
+)
+
+/** Answer to a call that ran. */
+@Serializable
+internal data class Receipt(
+    val name: String,
+    val method: String,
+    val path: String,
+    val key: String?,
+    val receipt: Long,
+)
+
+/** How often the calls of one key or path ran. */
+@Serializable
+internal data class RunCount(
+    val key: String,
+    val count: Int,
+)
+
+/** Answer to a lookup by key. */
+@Serializable
+internal data class Booking(
+    val key: String,
+    val receipt: Long,
+)
+
+/** All counts of the service. */
+@Serializable
+internal data class ServiceStats(
+    val calls: Long,
+    val keys: Map<String, Int>,
+    val paths: Map<String, Int>,
+)
+
+/** The `service` subcommand. */
+@OptIn(ExperimentalCli::class)
+internal class ServiceCommand : StandInCommand("service", "Plain service that counts its runs") {
+    override suspend fun start(listen: HostPort) = serviceServer(listen, ServiceRuns(standInName)).start()
+}
+
+/** HTTP server of a plain service that records in [runs]. */
+internal fun serviceServer(
+    listen: HostPort,
+    runs: ServiceRuns,
+): StandInServer =
+    StandInServer(listen) {
+        routing {
+            get("/standin/calls") {
+                val key = call.request.queryParameters["key"].orEmpty()
+                call.respondJson(RunCount(key, runs.count(key)))
+            }
+            get("/standin/stats") { call.respondJson(runs.stats()) }
+            put("/standin/faults") { call.receiveFaults<ServiceFaults> { runs.setFaults(it) } }
+            get("/bookings/{key}") {
+                val booking = runs.booking(call.parameters["key"].orEmpty())
+                if (booking == null) call.respondError(404, "unknown_key", "no call with this key ran") else call.respondJson(booking)
+            }
+            anyMethod("{...}") { serve(it, runs) }
+        }
+    }
+
+private fun Route.anyMethod(
+    path: String,
+    body: suspend (ApplicationCall) -> Unit,
+) {
+    route(path) { handle { body(call) } }
+}
+
+private suspend fun serve(
+    call: ApplicationCall,
+    runs: ServiceRuns,
+) {
+    call.receive<ByteArray>()
+    val faults = runs.takeFaults()
+    if (faults.hang) awaitCancellation()
+    delay(faults.delayBeforeMs)
+    val receipt = runs.record(call.request.httpMethod.value, call.request.uri, call.request.path(), call.request.headers["Idempotency-Key"])
+    delay(faults.delayAfterMs)
+    when {
+        faults.breakBeforeAnswer -> call.closeConnection()
+        faults.failStatus != null -> call.respondError(faults.failStatus, "injected", "fault of the stand-in")
+        else -> call.respondJson(receipt, HttpStatusCode.OK)
+    }
+}
