--- /dev/null
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/grants/TargetBookTest.kt
@@ -0,0 +1,239 @@
+package yuccaferry.decisions.grants
+
+import org.junit.jupiter.api.Nested
+import yuccaferry.model.AccountName
+import yuccaferry.model.DaemonId
+import yuccaferry.model.Incarnation
+import yuccaferry.model.MonotonicTime
+import yuccaferry.model.RequestId
+import yuccaferry.model.TargetId
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class TargetBookTest {
+    private val limits = TargetLimits(kvTokens = 1_000, coldRequests = 2, warmRequests = 8, longPrefills = 1, observable = true)
+    private val book = TargetBook(TargetId("e1"), limits, windowMillis = 2_000)
+    private var now = MonotonicTime(0)
+
+    private fun ask(
+        id: String,
+        hold: Long = 10,
+        priority: Int = 0,
+        account: String = "a",
+        long: Boolean = false,
+    ) = Ask(
+        RequestId(id),
+        DaemonId("d"),
+        AccountName(account),
+        hold,
+        prefillTokens = hold,
+        long,
+        priority,
+        weight = 1,
+        timeLeftMillis = 60_000,
+    )
+
+    private fun submit(ask: Ask) = book.ask(ask, now, until = now + 10_000)
+
+    private fun observe(
+        warm: Boolean,
+        incarnation: String = "i1",
+        vararg listed: String,
+    ): List<GrantEffect> {
+        val work = listed.map { ObservedWork(RequestId(it), DaemonId("d"), 10, prefillTokensLeft = 0, timeLeftMillis = 60_000) }
+        return book.observe(Observation(Incarnation(incarnation), warm, work), asked = now, now = now)
+    }
+
+    private fun gave(effects: List<GrantEffect>) = effects.filterIsInstance<GrantEffect.Give>().map { it.request.value }
+
+    @Nested
+    inner class `a target whose state is not known` {
+        @Test
+        fun `gets nothing`() {
+            assertEquals(listOf<GrantEffect>(GrantEffect.Deny(RequestId("r"), Denial.UNAVAILABLE)), submit(ask("r")))
+        }
+
+        @Test
+        fun `gets nothing again after a failure until it is seen`() {
+            observe(warm = true)
+            submit(ask("r"))
+            book.release(RequestId("r"), UseOutcome.TARGET_FAILED, now)
+            now += 10_000
+            assertEquals(listOf<GrantEffect>(GrantEffect.Deny(RequestId("s"), Denial.UNAVAILABLE)), submit(ask("s")))
+        }
+    }
+
+    @Nested
+    inner class `a cold target` {
+        @Test
+        fun `gets no more than the cold limit, and the next when one ends`() {
+            observe(warm = false)
+            assertEquals(listOf("a", "b"), gave(submit(ask("a")) + submit(ask("b")) + submit(ask("c"))))
+            assertEquals(listOf("c"), gave(book.release(RequestId("a"), UseOutcome.SUCCEEDED, now)))
+        }
+
+        @Test
+        fun `that was warm falls back to the cold limit at once`() {
+            observe(warm = true)
+            repeat(20) {
+                submit(ask("warm$it"))
+                book.release(RequestId("warm$it"), UseOutcome.SUCCEEDED, now)
+            }
+            now += 1
+            observe(warm = false)
+            assertEquals(listOf("a", "b"), gave(listOf("a", "b", "c").flatMap { submit(ask(it)) }))
+        }
+
+        @Test
+        fun `that restarted and says it is warm starts from the cold limit`() {
+            observe(warm = true)
+            repeat(20) {
+                submit(ask("warm$it"))
+                book.release(RequestId("warm$it"), UseOutcome.SUCCEEDED, now)
+            }
+            now += 1
+            observe(warm = true, incarnation = "i2")
+            assertEquals(listOf("a", "b"), gave(listOf("a", "b", "c").flatMap { submit(ask(it)) }))
+        }
+    }
+
+    @Nested
+    inner class `a warm target` {
+        @Test
+        fun `gets one request more for each success, up to the warm limit`() {
+            observe(warm = true)
+            repeat(20) {
+                submit(ask("r$it"))
+                book.release(RequestId("r$it"), UseOutcome.SUCCEEDED, now)
+            }
+            assertEquals(8, gave((1..12).flatMap { submit(ask("s$it")) }).size)
+        }
+    }
+
+    @Nested
+    inner class `memory` {
+        @Test
+        fun `is never granted twice`() {
+            observe(warm = true)
+            assertEquals(listOf("a"), gave(submit(ask("a", hold = 700)) + submit(ask("b", hold = 400))))
+        }
+
+        @Test
+        fun `of work that failed counts until the target is seen without it`() {
+            observe(warm = true)
+            submit(ask("a", hold = 700))
+            now += 1
+            book.release(RequestId("a"), UseOutcome.TARGET_FAILED, now)
+            now += 1_000
+            observe(warm = true, "i1", "a")
+            assertEquals(emptyList(), gave(submit(ask("b", hold = 400))))
+            now += 1
+            assertEquals(listOf("b"), gave(observe(warm = true)))
+        }
+
+        @Test
+        fun `that an unknown request holds counts too`() {
+            observe(warm = true, "i1", "stranger")
+            assertEquals(10, book.summary(now).heldTokens)
+        }
+
+        @Test
+        fun `of work that can never fit is refused at once`() {
+            observe(warm = true)
+            assertEquals(listOf<GrantEffect>(GrantEffect.Deny(RequestId("a"), Denial.TOO_LARGE)), submit(ask("a", hold = 1_001)))
+        }
+    }
+
+    @Nested
+    inner class `the queue` {
+        @Test
+        fun `serves the more urgent first`() {
+            observe(warm = false)
+            listOf("a", "b").forEach { submit(ask(it)) }
+            submit(ask("later", priority = 20))
+            submit(ask("urgent", priority = 0))
+            assertEquals(listOf("urgent"), gave(book.release(RequestId("a"), UseOutcome.SUCCEEDED, now)))
+        }
+
+        @Test
+        fun `lets an account with few asks pass one with many`() {
+            observe(warm = false)
+            listOf("a", "b").forEach { submit(ask(it, account = "large")) }
+            repeat(5) { submit(ask("large$it", hold = 100, account = "large")) }
+            submit(ask("small", hold = 100, account = "small"))
+            assertEquals(listOf("small"), gave(book.release(RequestId("a"), UseOutcome.SUCCEEDED, now)))
+            assertEquals(listOf("large0"), gave(book.release(RequestId("b"), UseOutcome.SUCCEEDED, now)))
+        }
+
+        @Test
+        fun `refuses an ask at the end of its wait`() {
+            observe(warm = false)
+            listOf("a", "b", "c").forEach { submit(ask(it)) }
+            now += 10_000
+            assertEquals(listOf<GrantEffect>(GrantEffect.Deny(RequestId("c"), Denial.FULL)), book.tick(now))
+        }
+    }
+
+    @Nested
+    inner class `a target taken out of service` {
+        @Test
+        fun `refuses what waits and what comes, and keeps what runs`() {
+            observe(warm = false)
+            listOf("a", "b", "c").forEach { submit(ask(it)) }
+            assertEquals(listOf<GrantEffect>(GrantEffect.Deny(RequestId("c"), Denial.NOT_IN_SERVICE)), book.setInService(false))
+            assertEquals(listOf<GrantEffect>(GrantEffect.Deny(RequestId("d"), Denial.NOT_IN_SERVICE)), submit(ask("d")))
+            assertEquals(2, book.summary(now).running)
+        }
+    }
+
+    @Nested
+    inner class `any sequence of events` {
+        /** Seeded: the same sequences each run. */
+        @Test
+        fun `keeps requests and memory within the limits`() {
+            for (seed in 1..200) runSequence(seed)
+        }
+
+        private fun runSequence(seed: Int) {
+            val random = Random(seed)
+            val target = TargetBook(TargetId("e"), limits, windowMillis = 2_000)
+            val running = mutableMapOf<RequestId, Long>()
+            val holds = mutableMapOf<RequestId, Long>()
+            var time = MonotonicTime(0)
+            var warm = false
+            repeat(300) { step ->
+                time += random.nextLong(1, 50)
+                val effects =
+                    when (random.nextInt(5)) {
+                        0, 1 -> {
+                            val ask = ask("$step", hold = random.nextLong(1, 500), priority = random.nextInt(3))
+                            holds[ask.request] = ask.holdTokens
+                            target.ask(ask, time, time + 1_000)
+                        }
+
+                        2 -> {
+                            val ended = running.keys.randomOrNull(random)
+                            ended?.let { running.remove(it) }
+                            ended?.let { target.release(it, UseOutcome.SUCCEEDED, time) } ?: emptyList()
+                        }
+
+                        3 -> {
+                            if (running.size <= limits.coldRequests) warm = random.nextBoolean()
+                            val work = running.map { (id, hold) -> ObservedWork(id, DaemonId("d"), hold, 0, 60_000) }
+                            target.observe(Observation(Incarnation("i"), warm, work), time, time)
+                        }
+
+                        else -> {
+                            target.tick(time)
+                        }
+                    }
+                effects.filterIsInstance<GrantEffect.Give>().forEach { running[it.request] = holds.getValue(it.request) }
+                val most = if (warm) limits.warmRequests else limits.coldRequests
+                assertTrue(running.size <= most, "seed $seed step $step: ${running.size} running of $most")
+                assertTrue(running.values.sum() <= limits.kvTokens, "seed $seed step $step: ${running.values.sum()} tokens")
+            }
+        }
+    }
+}
