--- /dev/null
+++ b/adapter-peer/src/main/kotlin/yuccaferry/peer/ConfigurationPeerService.kt
@@ -0,0 +1,37 @@
+// Answers other daemons' calls about the configuration.
+package yuccaferry.peer
+
+import io.grpc.ServerServiceDefinition
+import io.grpc.Status
+import io.grpc.StatusException
+import io.grpc.kotlin.ServerCalls
+import kotlinx.coroutines.Dispatchers
+import yuccaferry.daemon.configuration.ConfigurationCodec
+import yuccaferry.daemon.configuration.ConfigurationKeeper
+import yuccaferry.model.Address
+import yuccaferry.model.ConfigurationVersion
+import kotlin.coroutines.CoroutineContext
+
+/** Serves what [keeper] holds to other daemons; calls run in [context]. */
+class ConfigurationPeerService(
+    private val keeper: ConfigurationKeeper,
+    private val context: CoroutineContext = Dispatchers.Default,
+) {
+    /** The service to add to a [PeerServer]. */
+    fun definition(): ServerServiceDefinition =
+        ServerServiceDefinition
+            .builder("yuccaferry.Configuration")
+            .addMethod(ServerCalls.unaryServerMethodDefinition(context, fetchMethod, ::fetch))
+            .addMethod(ServerCalls.unaryServerMethodDefinition(context, announceMethod, ::announce))
+            .addMethod(ServerCalls.unaryServerMethodDefinition(context, versionMethod) { VersionAnswer(keeper.current.version.value) })
+            .build()
+
+    private suspend fun fetch(request: FetchRequest): FetchAnswer {
+        if (!keeper.settled.value) throw StatusException(Status.FAILED_PRECONDITION.withDescription("starting; newest version unknown"))
+        val current = keeper.current
+        return if (current.version.value > request.newerThan) FetchAnswer(ConfigurationCodec.toBytes(current)) else FetchAnswer()
+    }
+
+    private suspend fun announce(request: AnnounceRequest): VersionAnswer =
+        VersionAnswer(keeper.heard(ConfigurationVersion(request.version), Address(request.from)).value)
+}
--- /dev/null
+++ b/adapter-peer/src/test/kotlin/yuccaferry/peer/ConfigurationPeerServiceTest.kt
@@ -0,0 +1,149 @@
+package yuccaferry.peer
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Nested
+import yuccaferry.daemon.configuration.ConfigurationKeeper
+import yuccaferry.daemon.configuration.Membership
+import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.KeyValueStore
+import yuccaferry.daemon.port.LeaseId
+import yuccaferry.daemon.port.PeerError
+import yuccaferry.daemon.port.PrefixSnapshot
+import yuccaferry.daemon.port.Severity
+import yuccaferry.daemon.port.Span
+import yuccaferry.daemon.port.StoreError
+import yuccaferry.daemon.port.Telemetry
+import yuccaferry.decisions.configuration.Member
+import yuccaferry.model.Address
+import yuccaferry.model.Configuration
+import yuccaferry.model.ConfigurationVersion
+import yuccaferry.model.MonotonicTime
+import yuccaferry.model.OperatorFile
+import yuccaferry.model.RegionName
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+
+class ConfigurationPeerServiceTest {
+    private val channels = PeerChannels()
+    private val peers = GrpcConfigurationPeers(channels)
+    private val servers = mutableListOf<PeerServer>()
+    private val version7 = Configuration(ConfigurationVersion(7), OperatorFile(1, emptyList()))
+
+    @AfterTest
+    fun close() {
+        channels.close()
+        servers.forEach { it.close() }
+    }
+
+    private fun keeper() =
+        ConfigurationKeeper(EmptyStore, { MonotonicTime(0) }, Silent, peers, { Membership(Member(Address("self"), RegionName("r"))) })
+
+    private fun serve(keeper: ConfigurationKeeper): Address {
+        val server = PeerServer("127.0.0.1", 0, listOf(ConfigurationPeerService(keeper).definition()))
+        servers += server
+        server.start()
+        return Address("127.0.0.1:${server.port}")
+    }
+
+    @Nested
+    inner class `a settled peer` {
+        @Test
+        fun `sends its configuration only to those that hold a lower version`() =
+            runBlocking {
+                val keeper = keeper().also { it.refresh() }
+                keeper.adopt(version7)
+                val address = serve(keeper)
+                assertEquals(version7, peers.fetch(address, ConfigurationVersion(6)).get())
+                assertNull(peers.fetch(address, ConfigurationVersion(7)).get())
+                assertEquals(ConfigurationVersion(7), peers.versionOf(address).get())
+            }
+
+        @Test
+        fun `fetches a version that is announced to it`() =
+            runBlocking {
+                val announcing = keeper().also { it.refresh() }
+                announcing.adopt(version7)
+                val hearing = keeper()
+                val there = peers.announce(serve(hearing), ConfigurationVersion(7), serve(announcing))
+                assertEquals(ConfigurationVersion(7), there.get())
+                assertEquals(version7, hearing.current)
+            }
+    }
+
+    @Nested
+    inner class `a peer that is starting` {
+        @Test
+        fun `refuses to say which version is the newest`() =
+            runBlocking<Unit> {
+                assertIs<PeerError.Refused>(peers.fetch(serve(keeper()), ConfigurationVersion.NONE).getError())
+            }
+    }
+}
+
+private object EmptyStore : KeyValueStore {
+    private val unused = Err(StoreError.NotApplied("not used"))
+
+    override suspend fun read(key: String) = Ok(null)
+
+    override suspend fun readPrefix(
+        prefix: String,
+        afterRevision: Long,
+    ): Result<PrefixSnapshot, StoreError> = Ok(PrefixSnapshot(1, emptyList()))
+
+    override suspend fun compareAndSwap(
+        key: String,
+        expectedRevision: Long,
+        value: String,
+        lease: LeaseId?,
+    ) = unused
+
+    override suspend fun deleteIf(
+        key: String,
+        expectedRevision: Long,
+    ) = unused
+
+    override suspend fun grantLease(ttlSeconds: Long) = unused
+
+    override suspend fun renewLease(lease: LeaseId) = unused
+
+    override suspend fun revokeLease(lease: LeaseId) = unused
+}
+
+private object Silent : Telemetry {
+    override fun event(
+        name: String,
+        vararg fields: Field,
+        severity: Severity,
+    ) = Unit
+
+    override fun count(
+        name: String,
+        amount: Double,
+        vararg labels: Field,
+    ) = Unit
+
+    override fun time(
+        name: String,
+        millis: Long,
+        vararg labels: Field,
+    ) = Unit
+
+    override fun gauge(
+        name: String,
+        vararg labels: Field,
+        read: () -> Double,
+    ) = Unit
+
+    override fun span(
+        name: String,
+        parent: String?,
+    ): Span = error("not used")
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/configuration/ConfigurationChanges.kt
@@ -0,0 +1,75 @@
+// Operators' changes of the configuration at one daemon: made, recorded, and spread to the others.
+package yuccaferry.daemon.configuration
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import yuccaferry.daemon.admin.ConfigurationOperations
+import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.Severity
+import yuccaferry.daemon.port.Telemetry
+import yuccaferry.decisions.configuration.ChangeAuthor
+import yuccaferry.decisions.configuration.diff
+import yuccaferry.model.Configuration
+import yuccaferry.model.ConfigurationVersion
+import yuccaferry.model.OperatorFile
+import yuccaferry.model.ZoneName
+import yuccaferry.model.admin.ChangeAnswer
+import yuccaferry.model.admin.FileDiff
+import yuccaferry.model.admin.FleetAnswer
+
+/** The configuration as operators see and change it through this daemon. */
+class ConfigurationChanges(
+    private val keeper: ConfigurationKeeper,
+    private val spread: ConfigurationSpread,
+    private val telemetry: Telemetry,
+) : ConfigurationOperations {
+    override fun current(): Configuration = keeper.current
+
+    override suspend fun apply(
+        file: OperatorFile,
+        base: ConfigurationVersion,
+        author: ChangeAuthor,
+    ): Result<ChangeAnswer, ChangeError> = finish("apply", author, keeper.apply(file, base, author))
+
+    override suspend fun setZone(
+        zone: ZoneName,
+        out: Boolean,
+        author: ChangeAuthor,
+    ): Result<ChangeAnswer, ChangeError> = finish(if (out) "zone_out $zone" else "zone_in $zone", author, keeper.setZone(zone, out, author))
+
+    override fun diff(file: OperatorFile): FileDiff {
+        val current = keeper.current
+        return FileDiff(current.version, diff(current.file, file))
+    }
+
+    override suspend fun fleet(): FleetAnswer = FleetAnswer(keeper.current.version, spread.fleet())
+
+    private suspend fun finish(
+        change: String,
+        author: ChangeAuthor,
+        made: Result<ConfigurationVersion, ChangeError>,
+    ): Result<ChangeAnswer, ChangeError> =
+        made
+            .map { ChangeAnswer(it, spread.spread(it)) }
+            .onSuccess { answer ->
+                telemetry.event(
+                    "configuration_changed",
+                    Field("change", change),
+                    Field("operator", author.operator),
+                    Field("attempt", author.attempt),
+                    Field("version", answer.version),
+                    Field("state", answer.state),
+                )
+            }.onFailure { error ->
+                telemetry.event(
+                    "configuration_change_failed",
+                    Field("change", change),
+                    Field("operator", author.operator),
+                    Field("attempt", author.attempt),
+                    Field("error", error),
+                    severity = Severity.WARN,
+                )
+            }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/configuration/ConfigurationSpread.kt
@@ -0,0 +1,71 @@
+/*
+ * Tells other daemons of a version that was accepted here, and counts which hold it. A change is
+ * answered as accepted once a majority of each region's daemons hold it: a cut-off minority can't
+ * attest then that it knows the newest version.
+ */
+package yuccaferry.daemon.configuration
+
+import com.github.michaelbull.result.get
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.update
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import yuccaferry.daemon.port.ConfigurationPeers
+import yuccaferry.decisions.configuration.heldByMajorities
+import yuccaferry.model.Address
+import yuccaferry.model.ConfigurationVersion
+import yuccaferry.model.admin.ChangeState
+import yuccaferry.model.admin.FleetMember
+
+/** Spreads versions among daemons. The announcements run on in [scope] after the majority is reached. */
+class ConfigurationSpread(
+    private val keeper: ConfigurationKeeper,
+    private val peers: ConfigurationPeers,
+    private val membership: () -> Membership,
+    private val scope: CoroutineScope,
+    private val settings: ConfigurationSettings = ConfigurationSettings(),
+) {
+    /** Announces [version] and waits until a majority of each region holds it, at most [ConfigurationSettings.acceptMillis]. */
+    suspend fun spread(version: ConfigurationVersion): ChangeState {
+        val known = membership()
+        val holders = MutableStateFlow(setOf(known.self.address))
+        val announcing = known.others.map { scope.launch { announceUntilHeld(it.address, version, known.self.address, holders) } }
+        val reached = withTimeoutOrNull(settings.acceptMillis) { holders.first { heldByMajorities(known.all, it) } }
+        if (reached == null) announcing.forEach { it.cancel() }
+        return if (reached == null) ChangeState.PENDING else ChangeState.ACCEPTED
+    }
+
+    /** Asks every known daemon for the version in force there. */
+    suspend fun fleet(): List<FleetMember> {
+        val known = membership()
+        val own = FleetMember(known.self.address, known.self.region, keeper.current.version)
+        val others =
+            coroutineScope {
+                known.others.map { async { FleetMember(it.address, it.region, peers.versionOf(it.address).get()) } }.awaitAll()
+            }
+        return (others + own).sortedBy { it.address.value }
+    }
+
+    private suspend fun announceUntilHeld(
+        peer: Address,
+        version: ConfigurationVersion,
+        self: Address,
+        holders: MutableStateFlow<Set<Address>>,
+    ) {
+        withTimeoutOrNull(settings.acceptMillis) {
+            while (true) {
+                val there = peers.announce(peer, version, self).get()
+                if (there != null) keeper.heard(there, peer)
+                if (there != null && there >= version) break
+                delay(settings.announceRetryMillis)
+            }
+            holders.update { it + peer }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
@@ -0,0 +1,181 @@
+package yuccaferry.daemon.configuration
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import yuccaferry.decisions.configuration.ChangeRefusal
+import yuccaferry.decisions.configuration.Member
+import yuccaferry.model.ConfigurationVersion
+import yuccaferry.model.MonotonicTime
+import yuccaferry.model.ZoneName
+import yuccaferry.model.admin.ChangeState
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class ConfigurationKeeperTest {
+    private val store = FakeStore()
+    private val peers = FakePeers()
+    private val members = mutableListOf<Member>()
+
+    private fun TestScope.keeper(
+        address: String,
+        region: String = "r",
+        among: FakeStore = store,
+    ): ConfigurationKeeper {
+        val self = member(address, region)
+        members += self
+        val membership = { Membership(self, members - self) }
+        val keeper = ConfigurationKeeper(among, { MonotonicTime(currentTime) }, SilentTelemetry, peers, membership, random = Random(2))
+        peers.keepers[self.address] = keeper
+        return keeper
+    }
+
+    private fun TestScope.spread(keeper: ConfigurationKeeper): ConfigurationSpread {
+        val self = members.first { peers.keepers[it.address] === keeper }
+        return ConfigurationSpread(keeper, peers, { Membership(self, members - self) }, backgroundScope)
+    }
+
+    @Nested
+    inner class `a file that is applied` {
+        @Test
+        fun `is in force at another daemon after its next poll`() =
+            runTest {
+                val one = keeper("one")
+                val two = keeper("two")
+                one.apply(file(weight = 3), ConfigurationVersion(0), author("x"))
+                two.refresh()
+                assertEquals(ConfigurationVersion(1), two.current.version)
+                assertEquals(
+                    3,
+                    two.current.file.accounts
+                        .single()
+                        .weight,
+                )
+            }
+
+        @Test
+        fun `leaves a zone out that was taken out before`() =
+            runTest {
+                val keeper = keeper("one")
+                keeper.apply(file(weight = 1), ConfigurationVersion(0), author("x"))
+                keeper.setZone(ZoneName("a"), out = true, author("y"))
+                keeper.apply(file(weight = 2), ConfigurationVersion(2), author("z"))
+                assertEquals(setOf(ZoneName("a")), keeper.current.zonesOut)
+            }
+
+        @Test
+        fun `conflicts with what another operator applied first and names the difference`() =
+            runTest {
+                val one = keeper("one")
+                val two = keeper("two")
+                one.apply(file(weight = 2), ConfigurationVersion(0), author("x"))
+                val error = two.apply(file(weight = 5), ConfigurationVersion(0), author("y")).getError()
+                val conflict = assertIs<ChangeRefusal.Conflict>(assertIs<ChangeError.Refused>(error).refusal)
+                assertEquals(ConfigurationVersion(1), conflict.current)
+                assertEquals(listOf("$.accounts[0].weight 2 5"), conflict.changes.map { "${it.path} ${it.from} ${it.to}" })
+            }
+    }
+
+    @Nested
+    inner class `a change whose answer was lost` {
+        @Test
+        fun `is recognised although other changes have replaced it`() =
+            runTest {
+                val keeper = keeper("one")
+                keeper.apply(file(weight = 1), ConfigurationVersion(0), author("x"))
+                keeper.setZone(ZoneName("a"), out = true, author("y"))
+                val repeated = keeper.apply(file(weight = 1), ConfigurationVersion(0), author("x"))
+                assertEquals(ConfigurationVersion(1), repeated.get())
+                assertEquals(2, store.written.size)
+            }
+
+        @Test
+        fun `is recognised by reading back`() =
+            runTest {
+                val lost = mutableListOf(LostWrite.APPLIED)
+                store.lose = { lost.removeFirstOrNull() }
+                val version = keeper("one").apply(file(weight = 1), ConfigurationVersion(0), author("x")).get()
+                assertEquals(ConfigurationVersion(1), version)
+                assertEquals(1, store.written.size)
+            }
+
+        @Test
+        fun `is uncertain when no try is answered`() =
+            runTest {
+                store.lose = { LostWrite.DROPPED }
+                val error = keeper("one").apply(file(weight = 1), ConfigurationVersion(0), author("x")).getError()
+                assertIs<ChangeError.Uncertain>(error)
+            }
+    }
+
+    @Nested
+    inner class `a daemon that starts while the store is away` {
+        @Test
+        fun `is not settled before enough others answered and then holds every accepted version`() =
+            runTest {
+                val one = keeper("one")
+                val two = keeper("two")
+                one.apply(file(weight = 1), ConfigurationVersion(0), author("x"))
+                one.refresh()
+                two.refresh()
+                val away = FakeStore().also { it.away = true }
+                val late = keeper("late", among = away)
+                peers.cut += member("one").address
+                late.refresh()
+                assertFalse(late.settled.value)
+                peers.cut.clear()
+                late.refresh()
+                assertTrue(late.settled.value)
+                assertEquals(ConfigurationVersion(1), late.current.version)
+                assertNull(late.lastConfirmed)
+            }
+    }
+
+    @Nested
+    inner class `a version` {
+        @Test
+        fun `is accepted once a majority of each region holds it`() =
+            runTest {
+                val one = keeper("one")
+                keeper("two")
+                keeper("three")
+                keeper("far", region = "s")
+                one.apply(file(weight = 1), ConfigurationVersion(0), author("x"))
+                one.refresh()
+                peers.cut += member("three").address
+                assertEquals(ChangeState.ACCEPTED, spread(one).spread(ConfigurationVersion(1)))
+            }
+
+        @Test
+        fun `is pending while one region is cut off`() =
+            runTest {
+                val one = keeper("one")
+                keeper("far", region = "s")
+                one.apply(file(weight = 1), ConfigurationVersion(0), author("x"))
+                one.refresh()
+                peers.cut += member("far").address
+                assertEquals(ChangeState.PENDING, spread(one).spread(ConfigurationVersion(1)))
+            }
+
+        @Test
+        fun `never goes down although the store lost its newest`() =
+            runTest {
+                val keeper = keeper("one")
+                keeper.apply(file(weight = 1), ConfigurationVersion(0), author("x"))
+                val newest = keeper.current
+                val restored = keeper("two", among = FakeStore())
+                restored.adopt(newest)
+                assertFalse(restored.refresh())
+                assertEquals(ConfigurationVersion(1), restored.current.version)
+                assertNull(restored.lastConfirmed)
+            }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/FakeStore.kt
@@ -0,0 +1,110 @@
+// A key-value store in memory with outages, lost answers and late writes, driven by a seed.
+package yuccaferry.daemon.configuration
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import yuccaferry.daemon.port.KeyValueStore
+import yuccaferry.daemon.port.LeaseId
+import yuccaferry.daemon.port.PrefixSnapshot
+import yuccaferry.daemon.port.StoreError
+import yuccaferry.daemon.port.StoredValue
+import yuccaferry.daemon.port.SwapOutcome
+import kotlin.random.Random
+
+private const val LATE_MILLIS = 2_000L
+
+/** What becomes of a write whose answer is lost. */
+internal enum class LostWrite { APPLIED, DROPPED, APPLIED_LATE }
+
+/**
+ * @property late where writes that are still under way run on.
+ * @property lose chooses the writes whose answer is lost.
+ * @property written every write that took effect, in order.
+ */
+internal class FakeStore(
+    private val random: Random = Random(1),
+    private val late: CoroutineScope? = null,
+) : KeyValueStore {
+    private val values = mutableMapOf<String, StoredValue>()
+    private var revision = 1L
+    var lose: () -> LostWrite? = { null }
+    var away = false
+    val written = mutableListOf<StoredValue>()
+
+    override suspend fun read(key: String): Result<StoredValue?, StoreError> {
+        pause()
+        return if (away) Err(StoreError.NotApplied("away")) else Ok(values[key])
+    }
+
+    override suspend fun readPrefix(
+        prefix: String,
+        afterRevision: Long,
+    ): Result<PrefixSnapshot, StoreError> {
+        pause()
+        if (away) return Err(StoreError.NotApplied("away"))
+        return Ok(PrefixSnapshot(revision, values.values.filter { it.key.startsWith(prefix) && it.revision > afterRevision }))
+    }
+
+    override suspend fun compareAndSwap(
+        key: String,
+        expectedRevision: Long,
+        value: String,
+        lease: LeaseId?,
+    ): Result<SwapOutcome, StoreError> {
+        pause()
+        if (away) return Err(StoreError.NotApplied("away"))
+        val lost = lose() ?: return Ok(swap(key, expectedRevision, value)).also { pause() }
+        when (lost) {
+            LostWrite.APPLIED -> {
+                swap(key, expectedRevision, value)
+            }
+
+            LostWrite.DROPPED -> {}
+
+            LostWrite.APPLIED_LATE -> {
+                late?.launch { swapLate(key, expectedRevision, value) }
+            }
+        }
+        return Err(StoreError.Uncertain("answer lost"))
+    }
+
+    override suspend fun deleteIf(
+        key: String,
+        expectedRevision: Long,
+    ) = Err(StoreError.NotApplied("not used"))
+
+    override suspend fun grantLease(ttlSeconds: Long) = Err(StoreError.NotApplied("not used"))
+
+    override suspend fun renewLease(lease: LeaseId) = Err(StoreError.NotApplied("not used"))
+
+    override suspend fun revokeLease(lease: LeaseId) = Err(StoreError.NotApplied("not used"))
+
+    private suspend fun swapLate(
+        key: String,
+        expectedRevision: Long,
+        value: String,
+    ) {
+        delay(random.nextLong(LATE_MILLIS))
+        swap(key, expectedRevision, value)
+    }
+
+    private fun swap(
+        key: String,
+        expectedRevision: Long,
+        value: String,
+    ): SwapOutcome {
+        val current = values[key]
+        if ((current?.revision ?: 0) != expectedRevision) return SwapOutcome.Conflict(current)
+        revision++
+        val stored = StoredValue(key, value, revision)
+        values[key] = stored
+        written += stored
+        return SwapOutcome.Written(revision)
+    }
+
+    private suspend fun pause() = delay(random.nextLong(20))
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/Fakes.kt
@@ -0,0 +1,95 @@
+// Small fakes and literals shared by the configuration's tests.
+package yuccaferry.daemon.configuration
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.json.Json
+import yuccaferry.daemon.port.ConfigurationPeers
+import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.PeerError
+import yuccaferry.daemon.port.Severity
+import yuccaferry.daemon.port.Span
+import yuccaferry.daemon.port.Telemetry
+import yuccaferry.decisions.configuration.ChangeAuthor
+import yuccaferry.decisions.configuration.Member
+import yuccaferry.model.Address
+import yuccaferry.model.AttemptId
+import yuccaferry.model.Configuration
+import yuccaferry.model.ConfigurationVersion
+import yuccaferry.model.OperatorFile
+import yuccaferry.model.RegionName
+
+/** A file with zones a and b and an account of the given [weight]. */
+internal fun file(weight: Int): OperatorFile =
+    Json.decodeFromString(
+        """{"format":1,"zones":[{"name":"a","region":"r"},{"name":"b","region":"r"}],"models":[{"name":"m","version":"1"}],
+        "accounts":[{"name":"acc","keySha256":["${"0".repeat(64)}"],"serves":["m"],"weight":$weight}]}""",
+    )
+
+internal fun author(attempt: String) = ChangeAuthor("operator", AttemptId(attempt))
+
+internal fun member(
+    address: String,
+    region: String = "r",
+) = Member(Address(address), RegionName(region))
+
+/** Daemons in one process; those in [cut] can't be reached. */
+internal class FakePeers : ConfigurationPeers {
+    val keepers = mutableMapOf<Address, ConfigurationKeeper>()
+    val cut = mutableSetOf<Address>()
+
+    override suspend fun fetch(
+        peer: Address,
+        newerThan: ConfigurationVersion,
+    ): Result<Configuration?, PeerError> {
+        val keeper = reach(peer) ?: return Err(PeerError.Unreachable("cut"))
+        if (!keeper.settled.value) return Err(PeerError.Refused("starting"))
+        return Ok(keeper.current.takeIf { it.version > newerThan })
+    }
+
+    override suspend fun announce(
+        peer: Address,
+        version: ConfigurationVersion,
+        from: Address,
+    ): Result<ConfigurationVersion, PeerError> {
+        val keeper = reach(peer) ?: return Err(PeerError.Unreachable("cut"))
+        return Ok(keeper.heard(version, from))
+    }
+
+    override suspend fun versionOf(peer: Address): Result<ConfigurationVersion, PeerError> =
+        reach(peer)?.let { Ok(it.current.version) } ?: Err(PeerError.Unreachable("cut"))
+
+    private fun reach(peer: Address) = keepers[peer]?.takeIf { peer !in cut }
+}
+
+internal object SilentTelemetry : Telemetry {
+    override fun event(
+        name: String,
+        vararg fields: Field,
+        severity: Severity,
+    ) = Unit
+
+    override fun count(
+        name: String,
+        amount: Double,
+        vararg labels: Field,
+    ) = Unit
+
+    override fun time(
+        name: String,
+        millis: Long,
+        vararg labels: Field,
+    ) = Unit
+
+    override fun gauge(
+        name: String,
+        vararg labels: Field,
+        read: () -> Double,
+    ) = Unit
+
+    override fun span(
+        name: String,
+        parent: String?,
+    ): Span = error("not used")
+}
