--- a/daemon/src/main/kotlin/yuccaferry/daemon/port/TargetAccess.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/port/TargetAccess.kt
@@ -5,19 +5,22 @@
 package yuccaferry.daemon.port
 
 import com.github.michaelbull.result.Result
+import yuccaferry.decisions.grants.UseOutcome
 import yuccaferry.decisions.placement.Demand
 import yuccaferry.model.Epoch
 import yuccaferry.model.MonotonicTime
+import yuccaferry.model.RequestId
 import yuccaferry.model.Target
 import yuccaferry.model.TargetId
 
 /**
  * The right to start one piece of work on [target].
  *
+ * @property request the work that the grant is for.
  * @property useBy the work must have been sent before this time, or not at all.
  */
 data class Grant(
-    val number: Long,
+    val request: RequestId,
     val target: Target,
     val epoch: Epoch,
     val useBy: MonotonicTime,
@@ -31,15 +34,17 @@
     /** Targets exist but none had room before the deadline. */
     data object Full : AccessRefusal
 
+    /** The work needs more memory than any one target has; the largest has [kvTokens] tokens. */
+    data class TooLarge(
+        val kvTokens: Long,
+    ) : AccessRefusal
+
     /** This daemon can't confirm that its configuration and seats are current. */
     data class NotConfirmed(
         val reason: String,
     ) : AccessRefusal
 }
 
-/** How the use of a grant ended. */
-enum class UseOutcome { UNUSED, SUCCEEDED, TARGET_FAILED, CANCELLED }
-
 /** Grants the right to use targets. */
 interface TargetAccess {
     /** Waits for a grant until [deadline]; targets in [excluded] are not considered. */
