--- /dev/null
+++ b/app/src/main/kotlin/yuccaferry/app/Daemon.kt
@@ -0,0 +1,218 @@
+// Puts one daemon together: adapters around use cases, in the order in which they start and stop.
+package yuccaferry.app
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import yuccaferry.daemon.configuration.ConfigurationChanges
+import yuccaferry.daemon.configuration.ConfigurationKeeper
+import yuccaferry.daemon.configuration.ConfigurationSettings
+import yuccaferry.daemon.configuration.ConfigurationSpread
+import yuccaferry.daemon.configuration.Membership
+import yuccaferry.daemon.control.SeatTable
+import yuccaferry.daemon.grants.GrantDecider
+import yuccaferry.daemon.grants.LoadBoard
+import yuccaferry.daemon.grants.OrphanCollector
+import yuccaferry.daemon.grants.SeatTargetAccess
+import yuccaferry.daemon.grants.SummarySharing
+import yuccaferry.daemon.grants.TargetObserver
+import yuccaferry.daemon.port.AskAnswer
+import yuccaferry.daemon.port.AskRequest
+import yuccaferry.daemon.port.Clock
+import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.GrantPeerHandler
+import yuccaferry.daemon.port.ReleaseNotice
+import yuccaferry.daemon.request.Admission
+import yuccaferry.daemon.request.GenerationLimits
+import yuccaferry.daemon.request.GenerationService
+import yuccaferry.daemon.request.LengthCosting
+import yuccaferry.daemon.request.PlainCallService
+import yuccaferry.daemon.targets.TargetDirectory
+import yuccaferry.decisions.configuration.Member
+import yuccaferry.decisions.grants.TargetSummary
+import yuccaferry.decisions.placement.PlacementPolicy
+import yuccaferry.http.callers.CallersApi
+import yuccaferry.model.Address
+import yuccaferry.model.DaemonId
+import yuccaferry.model.MonotonicTime
+import yuccaferry.peer.ConfigurationPeerService
+import yuccaferry.peer.GrpcConfigurationPeers
+import yuccaferry.peer.GrpcGrantPeers
+import yuccaferry.peer.PeerChannels
+import yuccaferry.peer.PeerServer
+import yuccaferry.peer.grantPeerService
+import yuccaferry.platform.EtcdKeyValueStore
+import yuccaferry.platform.HttpInstanceList
+import yuccaferry.platform.StoreCallListener
+import yuccaferry.target.HttpEngineClient
+import yuccaferry.target.HttpServiceClient
+import yuccaferry.target.targetHttpClient
+import yuccaferry.telemetry.DaemonTelemetry
+import yuccaferry.telemetry.otlpExporter
+import java.util.UUID
+
+private const val TICK_MILLIS = 50L
+private const val NANOS_PER_MILLI = 1_000_000L
+private const val ID_CHARACTERS = 8
+
+/** One daemon; not started until [start]. */
+internal class Daemon(
+    private val settings: DaemonSettings,
+) {
+    private val id = DaemonId("${settings.name}-${UUID.randomUUID().toString().take(ID_CHARACTERS)}")
+    private val clock = Clock { MonotonicTime(System.nanoTime() / NANOS_PER_MILLI) }
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val telemetry = DaemonTelemetry(settings.name, settings.traces.otlpUrl?.let { otlpExporter(it) })
+    private val store = EtcdKeyValueStore(settings.platform.keyValue, settings.platform.timeoutMillis, storeCalls())
+    private val channels = PeerChannels()
+    private val targetClient = targetHttpClient()
+    private val engines = HttpEngineClient(targetClient)
+    private val configurationPeers = GrpcConfigurationPeers(channels)
+    private val grantPeers = GrpcGrantPeers(channels)
+    private val policy = checkNotNull(PlacementPolicy.of(settings.policy))
+    private var peerAddress = Address("")
+    private var seatTable: SeatTable = AloneSeatTable(id, peerAddress)
+
+    private val keeper =
+        ConfigurationKeeper(
+            store = store,
+            clock = clock,
+            telemetry = telemetry,
+            peers = configurationPeers,
+            membership = ::membership,
+            settings = ConfigurationSettings(pollMillis = settings.control.configurationPollMillis),
+        )
+    private val configuration = { keeper.current }
+    private val spread = ConfigurationSpread(keeper, configurationPeers, ::membership, scope)
+    private val changes = ConfigurationChanges(keeper, spread, telemetry)
+    private val instances = HttpInstanceList(settings.platform.instances, settings.platform.timeoutMillis)
+    private val directory = TargetDirectory(instances, configuration, telemetry, settings.control.instancePollMillis)
+    private val decider = GrantDecider({ seatTable }, directory, configuration, clock, telemetry)
+    private val orphans = OrphanCollector({ seatTable }, engines, clock, telemetry, settings.control.orphanGraceMillis)
+    private val observer = TargetObserver(decider, engines, orphans, clock, settings.control.observeMillis)
+    private val board = LoadBoard(directory, policy, clock)
+    private val sharing = SummarySharing(decider, board, { seatTable }, grantPeers)
+    private val access =
+        SeatTargetAccess(
+            self = id,
+            seats = { seatTable },
+            directory = directory,
+            board = board,
+            policy = policy,
+            decider = decider,
+            peers = grantPeers,
+            configuration = configuration,
+            heardVersion = { version, peer -> scope.launch { keeper.heard(version, peer) } },
+            clock = clock,
+            telemetry = telemetry,
+            scope = scope,
+        )
+    private val admission = Admission(configuration, clock)
+    private val generations =
+        GenerationService(
+            daemon = id,
+            access = access,
+            engines = engines,
+            costing = LengthCosting(policy),
+            admission = admission,
+            clock = clock,
+            telemetry = telemetry,
+            background = scope,
+            limits =
+                GenerationLimits(
+                    attempts = settings.limits.attempts,
+                    firstPieceStallMillis = settings.limits.firstPieceStallMillis,
+                    pieceStallMillis = settings.limits.pieceStallMillis,
+                ),
+        )
+    private val plainCalls =
+        PlainCallService(access, HttpServiceClient(targetClient), admission, configuration, clock, telemetry)
+    private val callersApi =
+        CallersApi(admission, generations, plainCalls, configuration, clock, settings.limits.bodyBytes)
+
+    private lateinit var peerServer: PeerServer
+    private lateinit var callersServer: NettyServer
+
+    /** Starts serving; prints one line for each port that is listened on. */
+    suspend fun start() {
+        peerServer = PeerServer(settings.peers.host, settings.peers.port, peerServices())
+        peerServer.start()
+        peerAddress = Address("${settings.peers.host}:${peerServer.port}")
+        seatTable = AloneSeatTable(id, peerAddress)
+        keeper.refresh()
+        directory.refresh()
+        keeper.start(scope)
+        directory.start(scope)
+        observer.start(scope)
+        sharing.start(scope)
+        scope.launch { tickForever() }
+        callersServer = startServer(settings.callers) { callersApi.install(this) }
+        announce("peers", settings.peers.host, peerServer.port)
+        announce("callers", settings.callers.host, portOf(callersServer))
+        telemetry.event("started", Field("id", id), Field("zone", settings.zone))
+    }
+
+    /** Leaves gracefully: no new callers are invited, and all requests in progress are finished. */
+    suspend fun leave() {
+        telemetry.event("leaving")
+        admission.drain()
+        delay(settings.limits.drainLagMillis)
+        val until = clock.now() + settings.limits.drainMillis
+        while (admission.inProgress > 0 && clock.now() < until) delay(TICK_MILLIS)
+        stop()
+    }
+
+    private fun stop() {
+        callersServer.stop(gracePeriodMillis = 200, timeoutMillis = 1_000)
+        peerServer.close()
+        scope.cancel()
+        channels.close()
+        targetClient.close()
+        telemetry.event("stopped")
+        telemetry.close()
+    }
+
+    private suspend fun tickForever() {
+        while (true) {
+            decider.tick()
+            delay(TICK_MILLIS)
+        }
+    }
+
+    private fun membership() =
+        Membership(
+            self = Member(peerAddress, settings.region),
+            others = settings.peerSeeds.map { Member(it.address, it.region) }.filter { it.address != peerAddress },
+        )
+
+    private fun peerServices() =
+        listOf(
+            grantPeerService(scope, GrantHandler()),
+            ConfigurationPeerService(keeper).definition(),
+        )
+
+    private inner class GrantHandler : GrantPeerHandler {
+        override suspend fun ask(request: AskRequest): AskAnswer = decider.ask(request)
+
+        override fun release(notice: ReleaseNotice) = decider.release(notice)
+
+        override fun share(summaries: List<TargetSummary>) = summaries.forEach { board.update(it) }
+    }
+
+    private fun storeCalls() =
+        StoreCallListener { kind, end, millis ->
+            telemetry.time("yuccaferry.store.calls", millis, Field("kind", kind), Field("end", end))
+        }
+
+    private fun announce(
+        role: String,
+        host: String,
+        port: Int,
+    ) {
+        println("listening name=${settings.name} role=$role address=$host:$port")
+        System.out.flush()
+    }
+}
--- a/app/src/main/kotlin/yuccaferry/app/DaemonSettings.kt
+++ b/app/src/main/kotlin/yuccaferry/app/DaemonSettings.kt
@@ -58,14 +58,14 @@
 /**
  * The platform's services.
  *
- * @property keyValue base URLs of the key-value service, tried in order.
- * @property instances base URL of the instance list.
+ * @property keyValue addresses of the key-value service, tried in order.
+ * @property instances address of the instance list.
  * @property timeoutMillis time allowed for one call.
  */
 @Serializable
 data class PlatformSettings(
-    val keyValue: List<String>,
-    val instances: String,
+    val keyValue: List<Address>,
+    val instances: Address,
     val timeoutMillis: Long = 2_000,
 )
 
@@ -155,7 +155,7 @@
     for ((name, listener) in listeners) {
         check(listener.port in 0..65_535, "$.$name.port", "a port from 0 to 65535", listener.port)
     }
-    check(settings.platform.keyValue.isNotEmpty(), "$.platform.keyValue", "at least one URL", "none")
+    check(settings.platform.keyValue.isNotEmpty(), "$.platform.keyValue", "at least one address", "none")
     check(
         settings.platform.timeoutMillis > 0,
         "$.platform.timeoutMillis",
--- /dev/null
+++ b/app/src/main/kotlin/yuccaferry/app/Main.kt
@@ -0,0 +1,58 @@
+// The program yuccaferryd: one daemon on one entry instance.
+package yuccaferry.app
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import kotlinx.cli.required
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import java.io.File
+import java.io.IOException
+import java.util.concurrent.CountDownLatch
+import kotlin.system.exitProcess
+
+private const val EXIT_BAD_SETTINGS = 3
+
+fun main(args: Array<String>) {
+    val parser = ArgParser("yuccaferryd")
+    val file by parser.option(ArgType.String, "settings", description = "Settings file (JSON)").required()
+    val checkOnly by parser.option(ArgType.Boolean, "check-settings", description = "Check the settings file and stop").default(false)
+    parser.parse(args)
+    val settings = readSettings(file) ?: exitProcess(EXIT_BAD_SETTINGS)
+    if (checkOnly) {
+        println("$file: settings are valid")
+        return
+    }
+    run(settings)
+}
+
+private fun run(settings: DaemonSettings) {
+    val daemon = Daemon(settings)
+    val stopped = CountDownLatch(1)
+    Runtime.getRuntime().addShutdownHook(
+        Thread {
+            runBlocking { daemon.leave() }
+            stopped.countDown()
+        },
+    )
+    runBlocking { daemon.start() }
+    stopped.await()
+}
+
+private fun readSettings(path: String): DaemonSettings? {
+    val settings =
+        try {
+            Json.decodeFromString<DaemonSettings>(File(path).readText())
+        } catch (e: IOException) {
+            System.err.println("$path: can't be read: ${e.message}")
+            return null
+        } catch (e: SerializationException) {
+            System.err.println("$path: ${e.message}")
+            return null
+        }
+    val problems = validate(settings)
+    problems.forEach { System.err.println("$path: $it") }
+    return settings.takeIf { problems.isEmpty() }
+}
