--- a/standin/src/main/kotlin/yuccaferry/standin/Main.kt
+++ b/standin/src/main/kotlin/yuccaferry/standin/Main.kt
@@ -6,6 +6,8 @@
 
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
+import yuccaferry.standin.caller.BookingCommand
+import yuccaferry.standin.caller.PromptCommand
 import yuccaferry.standin.engine.EngineCommand
 import yuccaferry.standin.instances.InstancesCommand
 import yuccaferry.standin.keyvalue.KeyValueCommand
@@ -17,6 +19,14 @@
 fun main(args: Array<String>) {
     System.setProperty("log4j2.configurationFile", "log4j2-standin.xml")
     val parser = ArgParser("yuccaferry-standin")
-    parser.subcommands(EngineCommand(), ServiceCommand(), KeyValueCommand(), InstancesCommand(), ProxyCommand())
+    parser.subcommands(
+        EngineCommand(),
+        ServiceCommand(),
+        KeyValueCommand(),
+        InstancesCommand(),
+        ProxyCommand(),
+        PromptCommand(),
+        BookingCommand(),
+    )
     parser.parse(args)
 }
