Add the load tool: open-loop runs of an experiment, figures, plots and comparisons

Requests start at their intended times whatever became of those before, and times are measured from then, so that a stalled service shows in the figures. A failed request counts as one of the longest time, as otherwise a policy that refuses work would look fast. Answers are compared with the text that the engine stand-in generates for the prompt; bookings with the plain services' own counts.

--- /dev/null
+++ b/load/src/main/kotlin/yuccaferry/load/Result.kt
@@ -0,0 +1,118 @@
+// The figures of one run, as written to JSON and read back for comparisons.
+package yuccaferry.load
+
+import kotlinx.serialization.Serializable
+
+/** The only result format understood so far. */
+const val RESULT_FORMAT = 1
+
+/**
+ * Distribution of a time, in milliseconds. A request that failed counts as one that took the run's duration and
+ * drain time together, so that refusing work never improves a figure.
+ */
+@Serializable
+data class Percentiles(
+    val count: Long,
+    val p50: Double,
+    val p95: Double,
+    val p99: Double,
+    val max: Double,
+)
+
+/**
+ * Prompts of one length class.
+ *
+ * @property firstToken time from the intended start to the first piece.
+ * @property betweenTokens time between pieces.
+ * @property cachedShare part of the prompt tokens that engines found in their caches.
+ */
+@Serializable
+data class ClassResult(
+    val lengthClass: LengthClass,
+    val requests: Int,
+    val complete: Int,
+    val firstToken: Percentiles,
+    val betweenTokens: Percentiles,
+    val cachedShare: Double,
+)
+
+/** Short prompts of one account. */
+@Serializable
+data class AccountResult(
+    val account: String,
+    val requests: Int,
+    val complete: Int,
+    val shortFirstToken: Percentiles,
+)
+
+/** Time between two of the experiment's events. */
+@Serializable
+data class PhaseResult(
+    val name: String,
+    val fromSeconds: Double,
+    val toSeconds: Double,
+    val requests: Int,
+    val complete: Int,
+    val completePerSecond: Double,
+    val shortFirstToken: Percentiles,
+)
+
+/** How many requests ended with one error. */
+@Serializable
+data class ErrorCount(
+    val code: String,
+    val count: Int,
+    val example: String,
+)
+
+/** One second of the run, by intended start. */
+@Serializable
+data class TimelinePoint(
+    val second: Int,
+    val requests: Int,
+    val complete: Int,
+    val shortP95Millis: Double?,
+)
+
+/** Short prompts that started while a long prompt waited for its first token, and all others. */
+@Serializable
+data class BesideLong(
+    val beside: Percentiles,
+    val alone: Percentiles,
+)
+
+/**
+ * Figures of one run.
+ *
+ * @property label what was run, for example the policy.
+ * @property without length classes that were left out of the plan.
+ * @property promptTokensPerSecond prompt tokens of complete answers.
+ * @property startLagMillis latest start of a request against its intended time.
+ */
+@Serializable
+data class RunResult(
+    val format: Int = RESULT_FORMAT,
+    val experiment: String,
+    val label: String,
+    val seed: Long,
+    val without: List<LengthClass>,
+    val durationSeconds: Int,
+    val warmUpSeconds: Int,
+    val requests: Int,
+    val complete: Int,
+    val wrongAnswers: Int,
+    val completePerSecond: Double,
+    val promptTokensPerSecond: Double,
+    val startLagMillis: Double,
+    val classes: List<ClassResult>,
+    val besideLong: BesideLong,
+    val accounts: List<AccountResult>,
+    val phases: List<PhaseResult>,
+    val errors: List<ErrorCount>,
+    val bookings: BookingResult? = null,
+    val timeline: List<TimelinePoint>,
+    val failedEvents: List<String> = emptyList(),
+) {
+    /** The figures of [lengthClass], null when no such prompt was sent. */
+    fun of(lengthClass: LengthClass): ClassResult? = classes.find { it.lengthClass == lengthClass }
+}
