Spread a prompt that no engine's memory holds over several engines

Ruled out: reserving with one long wait each, as the first grants would expire in the grant window; renewing an unused grant keeps it.

--- a/app/src/main/kotlin/yuccaferry/app/Daemon.kt
+++ b/app/src/main/kotlin/yuccaferry/app/Daemon.kt
@@ -26,6 +26,7 @@
 import yuccaferry.daemon.port.GrantPeerHandler
 import yuccaferry.daemon.port.ReleaseNotice
 import yuccaferry.daemon.request.Admission
+import yuccaferry.daemon.request.Gangs
 import yuccaferry.daemon.request.GenerationLimits
 import yuccaferry.daemon.request.GenerationService
 import yuccaferry.daemon.request.LengthCosting
@@ -116,6 +117,7 @@
             daemon = id,
             access = access,
             engines = engines,
+            gangs = Gangs(id, access, engines, clock, scope),
             costing = LengthCosting(policy),
             admission = admission,
             clock = clock,
--- a/daemon/src/main/kotlin/yuccaferry/daemon/grants/SeatTargetAccess.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/grants/SeatTargetAccess.kt
@@ -20,6 +20,7 @@
 import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.Grant
 import yuccaferry.daemon.port.GrantPeers
+import yuccaferry.daemon.port.PartTarget
 import yuccaferry.daemon.port.PeerError
 import yuccaferry.daemon.port.ReleaseNotice
 import yuccaferry.daemon.port.TargetAccess
@@ -78,6 +79,31 @@
         return result
     }
 
+    override fun partTargets(
+        demand: Demand,
+        excluded: Set<TargetId>,
+    ): List<PartTarget> {
+        val account = configuration().file.accounts.firstOrNull { it.name == demand.account } ?: return emptyList()
+        return directory.targets
+            .filter { it.serves == demand.serves && it.id !in excluded }
+            .filter { directory.inService(it) && directory.serves(it, account) && seats().holderOf(it) != null }
+            .sortedBy { board.view(it.id)?.heldTokens ?: Long.MAX_VALUE }
+            .map { PartTarget(it, directory.limitsOf(it)?.kvTokens ?: 0) }
+    }
+
+    override suspend fun acquireOn(
+        target: Target,
+        demand: Demand,
+        deadline: MonotonicTime,
+    ): Result<Grant, AccessRefusal> {
+        val account = configuration().file.accounts.firstOrNull { it.name == demand.account } ?: return Err(AccessRefusal.NoTarget)
+        if (!seats().confirmed) return Err(notConfirmed())
+        val acquisition = Acquisition(demand, account, emptySet(), deadline)
+        return acquisition.on(target)?.let { Ok(it) } ?: Err(AccessRefusal.Full)
+    }
+
+    private fun notConfirmed() = AccessRefusal.NotConfirmed("this daemon can't confirm that its configuration is current")
+
     override fun release(
         grant: Grant,
         outcome: UseOutcome,
@@ -126,6 +152,12 @@
             return Err(AccessRefusal.Full)
         }
 
+        /** Waits for room on [target] until the deadline. */
+        suspend fun on(target: Target): Grant? {
+            val answer = ask(target, maxOf(0, deadline - clock.now()))
+            return if (answer is AskAnswer.Given) grantOf(target, answer) else null
+        }
+
         /** Asks each of [targets] for room at once, then waits for the best one. */
         private suspend fun round(targets: List<Target>): Grant? {
             var queueAt: Target? = null
--- a/daemon/src/main/kotlin/yuccaferry/daemon/port/EngineClient.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/port/EngineClient.kt
@@ -34,7 +34,8 @@
  * @property firstPiece number of the first piece wanted; above zero when a broken stream is continued.
  * @property deliveredText text of the pieces before [firstPiece], which the engine continues.
  * @property timeLeftMillis time until the request's deadline; the engine gives up after it.
- * @property gang identifies reserved segments on other engines that hold the start of the prompt.
+ * @property gang identifies segments on other engines that hold the start of the prompt.
+ * @property gangTokens tokens that those segments hold.
  */
 data class EngineCall(
     val request: RequestId,
@@ -48,6 +49,7 @@
     val firstPiece: Int = 0,
     val deliveredText: String = "",
     val gang: String? = null,
+    val gangTokens: Long = 0,
     val traceparent: String? = null,
 )
 
--- a/daemon/src/main/kotlin/yuccaferry/daemon/port/TargetAccess.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/port/TargetAccess.kt
@@ -26,6 +26,16 @@
     val useBy: MonotonicTime,
 )
 
+/**
+ * One target that could take a part of a prompt.
+ *
+ * @property kvTokens memory of the whole target in tokens.
+ */
+data class PartTarget(
+    val target: Target,
+    val kvTokens: Long,
+)
+
 /** Why no target was granted. */
 sealed interface AccessRefusal {
     /** No live target in service may serve the demand at all. */
@@ -54,6 +64,22 @@
         deadline: MonotonicTime,
     ): Result<Grant, AccessRefusal>
 
+    /** Targets in service that could take a part of [demand], the one with the most free memory first. */
+    fun partTargets(
+        demand: Demand,
+        excluded: Set<TargetId>,
+    ): List<PartTarget>
+
+    /**
+     * Waits until [deadline] for a grant on [target] alone.
+     * Repeating it for a request that has an unused grant there renews the grant.
+     */
+    suspend fun acquireOn(
+        target: Target,
+        demand: Demand,
+        deadline: MonotonicTime,
+    ): Result<Grant, AccessRefusal>
+
     /** Gives [grant] back; never fails, and is safe to call from a cancelled coroutine. */
     fun release(
         grant: Grant,
--- a/daemon/src/main/kotlin/yuccaferry/daemon/request/GenerationService.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/request/GenerationService.kt
@@ -5,6 +5,7 @@
 package yuccaferry.daemon.request
 
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.flow.Flow
@@ -64,6 +65,7 @@
     private val daemon: DaemonId,
     private val access: TargetAccess,
     private val engines: EngineClient,
+    private val gangs: Gangs,
     private val costing: PromptCosting,
     private val admission: Admission,
     private val clock: Clock,
@@ -136,12 +138,25 @@
         private suspend fun attempt(span: Span): AttemptResult =
             access.acquire(demand, failed, request.deadline).fold(
                 success = { use(it, span) },
-                failure = { AttemptResult.NoAccess(it) },
+                failure = { if (it is AccessRefusal.TooLarge) attemptInParts(span) else AttemptResult.NoAccess(it) },
             )
 
+        /** Spreads a prompt that no engine's memory holds over several engines; the last one generates the answer. */
+        private suspend fun attemptInParts(span: Span): AttemptResult {
+            val gang = gangs.reserve(request, demand, failed).getOrElse { return AttemptResult.NoAccess(it) }
+            try {
+                val broken = gang.prefill(costing.priority(demand))
+                if (broken != null) return AttemptResult.Broken(broken.target, broken.error)
+                return use(gang.last(), span, gang)
+            } finally {
+                gang.release()
+            }
+        }
+
         private suspend fun use(
             grant: Grant,
             parent: Span,
+            gang: Gang? = null,
         ): AttemptResult {
             var outcome = UseOutcome.CANCELLED
             var ended = false
@@ -152,7 +167,7 @@
                     ended = true
                     return AttemptResult.Broken(grant.target, TargetError.NotSent("the grant expired before it was used"))
                 }
-                val result = follow(grant, span)
+                val result = follow(grant, span, gang)
                 ended = result is AttemptResult.Done
                 outcome = if (ended) UseOutcome.SUCCEEDED else UseOutcome.TARGET_FAILED
                 return result
@@ -165,8 +180,9 @@
         private suspend fun follow(
             grant: Grant,
             span: Span,
+            gang: Gang?,
         ): AttemptResult {
-            val events = engines.generate(grant.target, engineCall(grant, span))
+            val events = engines.generate(grant.target, engineCall(grant, span, gang))
             val monitor = StallMonitor(clock, request.deadline, firstPieceStall(), limits.pieceStallMillis)
             var result: AttemptResult? = null
             monitor.follow(events) { event ->
@@ -240,6 +256,7 @@
         private fun engineCall(
             grant: Grant,
             span: Span,
+            gang: Gang?,
         ) = EngineCall(
             request = request.id,
             owner = daemon,
@@ -251,6 +268,8 @@
             timeLeftMillis = request.deadline - clock.now(),
             firstPiece = check.nextPiece,
             deliveredText = delivered.toString(),
+            gang = gang?.id,
+            gangTokens = gang?.prefilledTokens ?: 0,
             traceparent = span.traceparent,
         )
 
--- a/decisions/src/main/kotlin/yuccaferry/decisions/grants/TargetBook.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/grants/TargetBook.kt
@@ -52,18 +52,27 @@
     private val heldTokens get() = entries.values.sumOf { it.holdTokens }
     private val longPrefills get() = entries.values.count { it.long && it.prefillTokens > 0 }
 
-    /** Answers [ask] now or puts it in the queue until [until]. Repeating an ask that was given repeats the answer. */
+    /** Answers [ask] now or puts it in the queue until [until]. Repeating an ask that was given renews its grant. */
     fun ask(
         ask: Ask,
         now: MonotonicTime,
         until: MonotonicTime,
     ): List<GrantEffect> {
-        if (ask.request in entries) return listOf(GrantEffect.Give(ask.request))
+        entries[ask.request]?.let { return renew(it, now) }
         denialOf(ask, now)?.let { return listOf(GrantEffect.Deny(ask.request, it)) }
         queue.add(ask, now, until)
         return serve(now)
     }
 
+    private fun renew(
+        entry: BookEntry,
+        now: MonotonicTime,
+    ): List<GrantEffect> {
+        if (!inService) return listOf(GrantEffect.Deny(entry.request, Denial.NOT_IN_SERVICE))
+        if (!entry.listed) entries[entry.request] = entry.copy(given = now)
+        return listOf(GrantEffect.Give(entry.request))
+    }
+
     /** Takes an ask out of the queue. */
     fun withdraw(request: RequestId) {
         queue.remove(request)
