Add the admin API and a strict reader of JSON that reports every problem at once

The reader compares the JSON tree with the serializer's descriptor, so that all unknown, missing and mistyped fields are reported together; jackson-core checks the syntax, as kotlinx.serialization gives no line and column and takes a repeated field silently.

A change may carry an attempt id of the caller's choice, which makes a repeat after a lost answer harmless.

--- a/model/src/main/kotlin/yuccaferry/model/admin/AdminError.kt
+++ b/model/src/main/kotlin/yuccaferry/model/admin/AdminError.kt
@@ -7,6 +7,9 @@
 import yuccaferry.model.ConfigurationVersion
 import yuccaferry.model.Problem
 
+/** Header with the id of a change, chosen by the caller, so that a repeat after a lost answer has no further effect. */
+const val ATTEMPT_HEADER = "X-Attempt-Id"
+
 /** JSON of the admin API: absent values are written as null, fields of later releases are passed over. */
 val AdminJson =
     Json {
--- /dev/null
+++ b/model/src/main/kotlin/yuccaferry/model/json/StrictJson.kt
@@ -0,0 +1,32 @@
+/*
+ * Reads a JSON document that a person wrote, such as an operators' file or a settings file, and
+ * reports every problem at once: where it is, what was expected and what was found.
+ */
+package yuccaferry.model.json
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.serializer
+import yuccaferry.model.Problem
+
+/** Reads [text] as a [T]; the error is the list of all problems, which is never empty. */
+inline fun <reified T> readStrictJson(text: String): Result<T, List<Problem>> = readStrictJson(serializer<T>(), text)
+
+/** Reads [text] with [serializer]; the error is the list of all problems, which is never empty. */
+fun <T> readStrictJson(
+    serializer: KSerializer<T>,
+    text: String,
+): Result<T, List<Problem>> {
+    val syntax = syntaxProblem(text)
+    if (syntax != null) return Err(listOf(syntax))
+    return try {
+        val tree = Json.parseToJsonElement(text)
+        val problems = ShapeChecker().check(serializer.descriptor, tree)
+        if (problems.isEmpty()) Ok(Json.decodeFromJsonElement(serializer, tree)) else Err(problems)
+    } catch (e: IllegalArgumentException) {
+        Err(listOf(Problem("$", "a document of this format", e.message.orEmpty())))
+    }
+}
