--- a/standin/src/main/kotlin/yuccaferry/standin/engine/AnswerStream.kt
+++ b/standin/src/main/kotlin/yuccaferry/standin/engine/AnswerStream.kt
@@ -3,6 +3,7 @@
 
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.writeStringUtf8
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.serialization.Serializable
 import yuccaferry.standin.server.ErrorDetail
 import yuccaferry.standin.standInJson
@@ -31,6 +32,7 @@
     private var pieces = 0
 
     /** Copies the output of the job until it ends or a fault ends the stream. */
+    @OptIn(ExperimentalCoroutinesApi::class)
     suspend fun copy(): StreamEnd {
         for (output in job.output) {
             if (output is Output.Piece && pieces == faults.dieAfterPieces) return StreamEnd.BROKEN
@@ -47,7 +49,6 @@
         return StreamEnd.BROKEN
     }
 
-    @OptIn(kotlinx.coroutines.ExperimentalCoroutinesApi::class)
     private suspend fun piece(output: Output.Piece) {
         pieces++
         if (output.number == faults.dropPiece) return
--- /dev/null
+++ b/standin/src/test/kotlin/yuccaferry/standin/service/ServiceServerTest.kt
@@ -0,0 +1,39 @@
+// The plain service's own count of what it ran.
+package yuccaferry.standin.service
+
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import yuccaferry.standin.LoopbackClient
+import yuccaferry.standin.loopback
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+
+class ServiceServerTest {
+    private val runs = ServiceRuns("s")
+    private val server = serviceServer(loopback, runs)
+    private val client = LoopbackClient(runBlocking { server.start() })
+
+    @AfterEach
+    fun stop() {
+        server.stop()
+    }
+
+    @Test
+    fun `a call whose answer breaks is counted, and only as often as the fault says`(): Unit =
+        runBlocking {
+            client.faults("""{"break_before_answer":true,"times":1}""")
+            assertNull(client.postOrNull("/bookings", ""))
+            assertEquals("""{"name":"s","method":"POST","path":"/bookings","receipt":2}""", client.post("/bookings", ""))
+            assertEquals(mapOf("POST /bookings" to 2), runs.stats().paths)
+        }
+
+    @Test
+    fun `a lookup finds the first run of a key`(): Unit =
+        runBlocking {
+            runs.record("POST", "/bookings", "/bookings", "k")
+            runs.record("POST", "/bookings", "/bookings", "k")
+            assertEquals("""{"key":"k","receipt":1}""", client.get("/bookings/k"))
+            assertEquals("""{"key":"k","count":2}""", client.get("/standin/calls?key=k"))
+        }
+}
