--- a/app/src/main/kotlin/yuccaferry/app/Daemon.kt
+++ b/app/src/main/kotlin/yuccaferry/app/Daemon.kt
@@ -7,6 +7,8 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import yuccaferry.daemon.admin.DaemonPlace
+import yuccaferry.daemon.admin.DaemonView
 import yuccaferry.daemon.configuration.ConfigurationChanges
 import yuccaferry.daemon.configuration.ConfigurationKeeper
 import yuccaferry.daemon.configuration.ConfigurationSettings
@@ -35,6 +37,8 @@
 import yuccaferry.decisions.configuration.Member
 import yuccaferry.decisions.grants.TargetSummary
 import yuccaferry.decisions.placement.PlacementPolicy
+import yuccaferry.http.admin.OperatorTokens
+import yuccaferry.http.admin.adminModule
 import yuccaferry.http.callers.CallersApi
 import yuccaferry.model.Address
 import yuccaferry.model.DaemonId
@@ -62,6 +66,7 @@
 /** One daemon; not started until [start]. */
 internal class Daemon(
     private val settings: DaemonSettings,
+    private val onDrain: () -> Unit,
 ) {
     private val id = DaemonId("${settings.name}-${UUID.randomUUID().toString().take(ID_CHARACTERS)}")
     private val clock = Clock { MonotonicTime(System.nanoTime() / NANOS_PER_MILLI) }
@@ -135,6 +140,22 @@
     private val callersApi =
         CallersApi(admission, generations, plainCalls, configuration, clock, settings.limits.bodyBytes)
 
+    private val view =
+        DaemonView(
+            place = DaemonPlace(id, settings.region, settings.zone),
+            keeper = keeper,
+            admission = admission,
+            seats = { seatTable },
+            directory = directory,
+            board = board,
+            decider = decider,
+            costs = { emptyList() },
+            startLeave = onDrain,
+            clock = clock,
+            telemetry = telemetry,
+        )
+
+    private lateinit var adminServer: NettyServer
     private lateinit var peerServer: PeerServer
     private lateinit var callersServer: NettyServer
 
@@ -152,6 +173,8 @@
         sharing.start(scope)
         scope.launch { tickForever() }
         callersServer = startServer(settings.callers) { callersApi.install(this) }
+        adminServer = startServer(settings.admin) { adminModule(changes, view, OperatorTokens(settings.operators), telemetry::scrape) }
+        announce("admin", settings.admin.host, portOf(adminServer))
         announce("peers", settings.peers.host, peerServer.port)
         announce("callers", settings.callers.host, portOf(callersServer))
         telemetry.event("started", Field("id", id), Field("zone", settings.zone))
@@ -169,6 +192,7 @@
 
     private fun stop() {
         callersServer.stop(gracePeriodMillis = 200, timeoutMillis = 1_000)
+        adminServer.stop(gracePeriodMillis = 0, timeoutMillis = 500)
         peerServer.close()
         scope.cancel()
         channels.close()
--- a/app/src/main/kotlin/yuccaferry/app/DaemonSettings.kt
+++ b/app/src/main/kotlin/yuccaferry/app/DaemonSettings.kt
@@ -3,6 +3,7 @@
 
 import kotlinx.serialization.Serializable
 import yuccaferry.decisions.placement.PlacementPolicy
+import yuccaferry.http.admin.OperatorToken
 import yuccaferry.model.Address
 import yuccaferry.model.Problem
 import yuccaferry.model.RegionName
@@ -36,7 +37,7 @@
     val admin: Listener,
     val peers: Listener,
     val platform: PlatformSettings,
-    val operators: List<OperatorSettings> = emptyList(),
+    val operators: List<OperatorToken> = emptyList(),
     val peerSeeds: List<PeerSeed> = emptyList(),
     val policy: String = "length-aware",
     val limits: LimitSettings = LimitSettings(),
@@ -69,17 +70,6 @@
     val timeoutMillis: Long = 2_000,
 )
 
-/**
- * One operator.
- *
- * @property tokenSha256 lower-case hex SHA-256 of the operator's token.
- */
-@Serializable
-data class OperatorSettings(
-    val name: String,
-    val tokenSha256: String,
-)
-
 /** Another daemon, by its peer address. */
 @Serializable
 data class PeerSeed(
--- a/app/src/main/kotlin/yuccaferry/app/Main.kt
+++ b/app/src/main/kotlin/yuccaferry/app/Main.kt
@@ -1,16 +1,17 @@
 // The program yuccaferryd: one daemon on one entry instance.
 package yuccaferry.app
 
+import com.github.michaelbull.result.fold
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
 import kotlinx.cli.required
 import kotlinx.coroutines.runBlocking
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
+import yuccaferry.model.json.readStrictJson
 import java.io.File
 import java.io.IOException
 import java.util.concurrent.CountDownLatch
+import kotlin.concurrent.thread
 import kotlin.system.exitProcess
 
 private const val EXIT_BAD_SETTINGS = 3
@@ -29,7 +30,7 @@
 }
 
 private fun run(settings: DaemonSettings) {
-    val daemon = Daemon(settings)
+    val daemon = Daemon(settings, onDrain = { thread(name = "drain") { exitProcess(0) } })
     val stopped = CountDownLatch(1)
     Runtime.getRuntime().addShutdownHook(
         Thread {
@@ -42,17 +43,18 @@
 }
 
 private fun readSettings(path: String): DaemonSettings? {
-    val settings =
+    val text =
         try {
-            Json.decodeFromString<DaemonSettings>(File(path).readText())
+            File(path).readText()
         } catch (e: IOException) {
             System.err.println("$path: can't be read: ${e.message}")
             return null
-        } catch (e: SerializationException) {
-            System.err.println("$path: ${e.message}")
-            return null
         }
-    val problems = validate(settings)
+    val problems =
+        readStrictJson<DaemonSettings>(text).fold(
+            success = { settings -> validate(settings).ifEmpty { return settings } },
+            failure = { it },
+        )
     problems.forEach { System.err.println("$path: $it") }
-    return settings.takeIf { problems.isEmpty() }
+    return null
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/admin/DaemonView.kt
@@ -0,0 +1,126 @@
+// What one daemon tells operators of itself.
+package yuccaferry.daemon.admin
+
+import yuccaferry.daemon.configuration.ConfigurationKeeper
+import yuccaferry.daemon.control.SeatTable
+import yuccaferry.daemon.grants.GrantDecider
+import yuccaferry.daemon.grants.LoadBoard
+import yuccaferry.daemon.port.Clock
+import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.Telemetry
+import yuccaferry.daemon.request.Admission
+import yuccaferry.daemon.targets.TargetDirectory
+import yuccaferry.model.AccountEntry
+import yuccaferry.model.DaemonId
+import yuccaferry.model.RegionName
+import yuccaferry.model.Target
+import yuccaferry.model.TargetId
+import yuccaferry.model.ZoneName
+import yuccaferry.model.admin.ControlCost
+import yuccaferry.model.admin.DaemonStatus
+import yuccaferry.model.admin.ExplainAnswer
+import yuccaferry.model.admin.ExplainRequest
+import yuccaferry.model.admin.ExplainedTarget
+import yuccaferry.model.admin.PeerStatus
+import yuccaferry.model.admin.Readiness
+import yuccaferry.model.admin.SeatStatus
+import yuccaferry.model.admin.TargetStatus
+
+/** Where a daemon is. */
+data class DaemonPlace(
+    val id: DaemonId,
+    val region: RegionName,
+    val zone: ZoneName,
+)
+
+/** Answers operators about this daemon. */
+class DaemonView(
+    private val place: DaemonPlace,
+    private val keeper: ConfigurationKeeper,
+    private val admission: Admission,
+    private val seats: () -> SeatTable,
+    private val directory: TargetDirectory,
+    private val board: LoadBoard,
+    private val decider: GrantDecider,
+    private val costs: () -> List<ControlCost>,
+    private val startLeave: () -> Unit,
+    private val clock: Clock,
+    private val telemetry: Telemetry,
+) : DaemonOperations {
+    override fun readiness(): Readiness {
+        val reasons = mutableListOf<String>()
+        if (admission.isDraining) reasons += "this daemon is leaving"
+        if (!keeper.settled.value) reasons += "the newest configuration is not known yet"
+        if (keeper.current.version.value == 0L) reasons += "no configuration has been applied"
+        if (!seats().confirmed) reasons += "this daemon can't confirm that its configuration is current"
+        return Readiness(reasons.isEmpty(), reasons)
+    }
+
+    override fun status(): DaemonStatus {
+        val table = seats()
+        val now = clock.now()
+        return DaemonStatus(
+            daemon = place.id,
+            region = place.region,
+            zone = place.zone,
+            version = keeper.current.version,
+            zonesOut = keeper.current.zonesOut,
+            confirmedMillisAgo = keeper.lastConfirmed?.let { now - it },
+            readiness = readiness(),
+            requestsInProgress = admission.inProgress,
+            peers = table.members.filter { it.id != place.id }.map { PeerStatus(it.id, it.peer, it.region, heardMillisAgo = null) },
+            seats = table.heldSeats().mapNotNull { seat -> table.mayDecide(seat)?.let { SeatStatus(seat.region, seat.number, it) } },
+            targets = directory.targets.sortedBy { it.id.value }.map { targetStatus(it) },
+            costs = costs(),
+        )
+    }
+
+    private fun targetStatus(target: Target): TargetStatus {
+        val view = board.view(target.id)
+        return TargetStatus(
+            target = target.id,
+            serves = target.serves,
+            zone = target.zone,
+            warm = view?.takeIf { it.lastReport != null }?.warm,
+            requests = view?.outstandingRequests ?: 0,
+            limit = view?.requestLimit ?: 0,
+        )
+    }
+
+    override fun drain(operator: String) {
+        telemetry.event("drain_requested", Field("operator", operator))
+        startLeave()
+    }
+
+    override suspend fun explain(request: ExplainRequest): ExplainAnswer {
+        val file = keeper.current.file
+        val account = file.accounts.firstOrNull { it.name == request.account } ?: return ExplainAnswer("no account \"${request.account}\"")
+        if (request.model !in account.serves) return ExplainAnswer("account ${account.name} may not use ${request.model}")
+        val targets = directory.targets.filter { it.serves == request.model }.sortedBy { it.id.value }
+        val explained = targets.map { explain(it, account, request.promptTokens) }
+        val eligible = explained.count { it.eligible }
+        return ExplainAnswer("$eligible of ${targets.size} targets that serve ${request.model} may take the request", explained)
+    }
+
+    private fun explain(
+        target: Target,
+        account: AccountEntry,
+        promptTokens: Long,
+    ): ExplainedTarget {
+        val against = mutableListOf<String>()
+        if (!keeper.current.inService(target.zone)) against += "zone ${target.zone} is out of service"
+        if (keeper.current.inService(target.zone) && !directory.inService(target)) against += "the target is leaving"
+        if (!directory.serves(target, account)) against += "account ${account.name} is not served in zone ${target.zone}"
+        val capacity = directory.limitsOf(target)?.kvTokens ?: 0
+        if (promptTokens > capacity) against += "the prompt needs $promptTokens tokens of memory, the target has $capacity"
+        if (seats().holderOf(target) == null) against += "no daemon decides over the target at present"
+        return ExplainedTarget(target.id, target.zone, against.isEmpty(), against.ifEmpty { listOf(loadOf(target.id)) })
+    }
+
+    private fun loadOf(id: TargetId): String {
+        val view = board.view(id) ?: return "nothing is known of its load"
+        val state = if (view.warm) "warm" else "cold"
+        return "$state, ${view.outstandingRequests} of ${view.requestLimit} requests, " +
+            "${view.outstandingPrefillTokens} prompt tokens to compute, ${view.heldTokens} tokens held"
+    }
+}
--- a/daemon/src/main/kotlin/yuccaferry/daemon/request/Admission.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/request/Admission.kt
@@ -12,6 +12,7 @@
 import yuccaferry.model.AccountEntry
 import yuccaferry.model.AccountName
 import yuccaferry.model.Configuration
+import yuccaferry.model.ConfigurationVersion
 import yuccaferry.model.Execution
 import yuccaferry.model.MonotonicTime
 import yuccaferry.model.Refusal
@@ -20,6 +21,7 @@
 import java.security.MessageDigest
 
 private const val MILLIS_PER_SECOND = 1_000L
+private const val NOT_READY_RETRY_AFTER_SECONDS = 1
 private const val ACCOUNT_RETRY_AFTER_SECONDS = 1
 
 /** What an admitted request may use, and for how long. */
@@ -46,12 +48,18 @@
         draining = true
     }
 
-    /** Whether new callers should be sent here. */
-    val ready: Boolean get() = !draining && configuration().version.value > 0
+    /** Whether this process is leaving. */
+    val isDraining: Boolean get() = draining
 
     /** Finds the account that [apiKey] belongs to; the comparison takes constant time per key. */
     fun authenticate(apiKey: String?): Result<AccountEntry, Refusal> {
-        val file = configuration().file
+        val current = configuration()
+        if (current.version ==
+            ConfigurationVersion.NONE
+        ) {
+            return refuse(RefusalCode.NOT_READY, "no configuration is known yet", NOT_READY_RETRY_AFTER_SECONDS)
+        }
+        val file = current.file
         if (apiKey == null) return refuse(RefusalCode.UNAUTHENTICATED, "expected an API key in the Authorization header, found none")
         val digest = sha256Hex(apiKey).encodeToByteArray()
         val account =
