Count the bytes that the proxy holds

The test of a held answer passed with the hold removed, as it looked before the answer had arrived at the proxy. It now waits for held bytes; with the hold removed it runs into its bound of 5 s.

--- a/standin/src/main/kotlin/yuccaferry/standin/proxy/ProxyFaults.kt
+++ b/standin/src/main/kotlin/yuccaferry/standin/proxy/ProxyFaults.kt
@@ -40,6 +40,7 @@
 /**
  * Counts of the proxy.
  *
+ * @property bytesHeld bytes that a fault holds now.
  * @property cuts connections closed by a fault.
  */
 @Serializable
@@ -48,5 +49,6 @@
     val open: Int,
     val bytesUp: Long,
     val bytesDown: Long,
+    val bytesHeld: Long,
     val cuts: Long,
 )
--- a/standin/src/main/kotlin/yuccaferry/standin/proxy/TcpProxy.kt
+++ b/standin/src/main/kotlin/yuccaferry/standin/proxy/TcpProxy.kt
@@ -45,6 +45,7 @@
     private val accepted = AtomicLong()
     private val bytesUp = AtomicLong()
     private val bytesDown = AtomicLong()
+    private val bytesHeld = AtomicLong()
     private val cuts = AtomicLong()
     private lateinit var server: ServerSocket
 
@@ -72,7 +73,7 @@
     }
 
     /** Counts so far. */
-    fun stats() = ProxyStats(accepted.get(), open.size, bytesUp.get(), bytesDown.get(), cuts.get())
+    fun stats() = ProxyStats(accepted.get(), open.size, bytesUp.get(), bytesDown.get(), bytesHeld.get(), cuts.get())
 
     private fun accept(client: Socket) {
         accepted.incrementAndGet()
@@ -111,7 +112,7 @@
                 val size = from.readAvailable(buffer)
                 if (size < 0) break
                 delay(faults.value.delayMs)
-                faults.first { !it.holds(direction) }
+                hold(direction, size)
                 if (!pass(connection, direction, buffer, size, to)) break
             }
         } catch (_: IOException) {
@@ -122,6 +123,19 @@
         }
     }
 
+    private suspend fun hold(
+        direction: Direction,
+        size: Int,
+    ) {
+        if (!faults.value.holds(direction)) return
+        bytesHeld.addAndGet(size.toLong())
+        try {
+            faults.first { !it.holds(direction) }
+        } finally {
+            bytesHeld.addAndGet(-size.toLong())
+        }
+    }
+
     /** Passes [size] bytes on; false when a fault ended the connection. */
     private suspend fun pass(
         connection: Connection,
--- a/standin/src/test/kotlin/yuccaferry/standin/proxy/TcpProxyTest.kt
+++ b/standin/src/test/kotlin/yuccaferry/standin/proxy/TcpProxyTest.kt
@@ -78,7 +78,8 @@
             runBlocking {
                 proxy.set(ProxyFaults(oneWay = Direction.DOWN))
                 val answer = async(Dispatchers.IO) { client.post("/a", "") }
-                withTimeout(5_000) { while (calls() == 0L) yield() }
+                withTimeout(5_000) { while (proxy.stats().bytesHeld == 0L) yield() }
+                assertEquals(1, calls())
                 assertEquals(0, proxy.stats().bytesDown)
                 proxy.set(ProxyFaults())
                 assertEquals("""{"name":"s","method":"POST","path":"/a","receipt":1}""", answer.await())
