Add the control of seats: decisions, their coroutine runner and the calls between daemons

One decider per seat, decided by a state machine without clock or I/O (SeatNode: events in, effects out). Right to decide: lease counted from before the renewal was sent, or attestations by a majority of the region's roster, each counted from before it was asked. A claimant needs the promise of a majority and waits until what they attested before has run out. Rosters change only after a majority of the old one promised never to attest under it, and a holder counts attestations only under a roster that it read while its lease was valid: so no holder can continue on an old roster beside a claim on the new one.

With a slow store, where some calls succeed, a holder whose renewals fail would otherwise stop although nobody may claim its seats. What an attester sees in the store is used for the promise instead: while it attests for a holder, it promises the holder away only after it has read itself that the holder's record is gone, so a claimant that alone reaches the store doesn't take a working majority's seats. - One-member changes of the roster don't suffice: after several of them the majority of a cut-off holder's roster needs not meet the claimant's. Hence the promise of the old majority. - A lapsed holder that comes back under the same id would race a claimant: seats name a session (lease), and a new session has to write its seats again.

--- /dev/null
+++ b/adapter-peer/src/main/kotlin/yuccaferry/peer/SeatWire.kt
@@ -0,0 +1,119 @@
+// Messages about the right to decide as they travel: flat and numbered by position.
+package yuccaferry.peer
+
+import kotlinx.serialization.Serializable
+import yuccaferry.decisions.seats.AttestationAnswer
+import yuccaferry.decisions.seats.AttestationRequest
+import yuccaferry.decisions.seats.HandOverAnswer
+import yuccaferry.decisions.seats.HandOverRequest
+import yuccaferry.decisions.seats.Holder
+import yuccaferry.decisions.seats.PromiseAnswer
+import yuccaferry.decisions.seats.PromiseRequest
+import yuccaferry.decisions.seats.RefusalReason
+import yuccaferry.decisions.seats.SeatId
+import yuccaferry.decisions.seats.Session
+import yuccaferry.model.ConfigurationVersion
+import yuccaferry.model.DaemonId
+import yuccaferry.model.Epoch
+import yuccaferry.model.RegionName
+import yuccaferry.model.SeatNumber
+
+@Serializable
+internal class WireAttest(
+    val daemon: String,
+    val session: Long,
+    val roster: Long,
+    val configuration: Long,
+)
+
+/** [refusal] is null when the member attested. */
+@Serializable
+internal class WireAttested(
+    val configuration: Long,
+    val refusal: RefusalReason? = null,
+)
+
+/** Against the holder [daemon], or up to [roster] when there is none. */
+@Serializable
+internal class WirePromise(
+    val daemon: String? = null,
+    val session: Long = 0,
+    val roster: Long = 0,
+)
+
+/** [refusal] is null when the member promised. */
+@Serializable
+internal class WirePromised(
+    val remainingMillis: Long = 0,
+    val refusal: RefusalReason? = null,
+)
+
+@Serializable
+internal class WireHandOver(
+    val region: String,
+    val number: Int,
+    val epoch: Long,
+    val revision: Long,
+    val daemon: String,
+    val session: Long,
+    val grants: ByteArray,
+)
+
+@Serializable
+internal class WireHandedOver(
+    val answer: HandOverAnswer,
+)
+
+internal fun AttestationRequest.toWire() = WireAttest(holder.daemon.value, holder.session.value, roster, configuration.value)
+
+internal fun WireAttest.toDomain() =
+    AttestationRequest(Holder(DaemonId(daemon), Session(session)), roster, ConfigurationVersion(configuration))
+
+internal fun AttestationAnswer.toWire() =
+    when (this) {
+        is AttestationAnswer.Attested -> WireAttested(configuration.value)
+        is AttestationAnswer.Refused -> WireAttested(configuration.value, reason)
+    }
+
+internal fun WireAttested.toDomain(): AttestationAnswer {
+    val version = ConfigurationVersion(configuration)
+    return if (refusal == null) AttestationAnswer.Attested(version) else AttestationAnswer.Refused(version, refusal)
+}
+
+internal fun PromiseRequest.toWire() =
+    when (this) {
+        is PromiseRequest.Against -> WirePromise(daemon = holder.daemon.value, session = holder.session.value)
+        is PromiseRequest.RosterUpTo -> WirePromise(roster = version)
+    }
+
+internal fun WirePromise.toDomain(): PromiseRequest =
+    if (daemon == null) PromiseRequest.RosterUpTo(roster) else PromiseRequest.Against(Holder(DaemonId(daemon), Session(session)))
+
+internal fun PromiseAnswer.toWire() =
+    when (this) {
+        is PromiseAnswer.Promised -> WirePromised(remainingMillis)
+        is PromiseAnswer.Refused -> WirePromised(refusal = reason)
+    }
+
+internal fun WirePromised.toDomain(): PromiseAnswer =
+    if (refusal == null) PromiseAnswer.Promised(remainingMillis) else PromiseAnswer.Refused(refusal)
+
+internal fun HandOverRequest.toWire() =
+    WireHandOver(
+        region = seat.region.value,
+        number = seat.number.value,
+        epoch = epoch.value,
+        revision = revision,
+        daemon = from.daemon.value,
+        session = from.session.value,
+        grants = grants,
+    )
+
+internal fun WireHandOver.toDomain() =
+    HandOverRequest(
+        seat = SeatId(RegionName(region), SeatNumber(number)),
+        epoch = Epoch(epoch),
+        revision = revision,
+        from = Holder(DaemonId(daemon), Session(session)),
+        grants = grants,
+    )
--- /dev/null
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/control/SeatControl.kt
@@ -0,0 +1,236 @@
+/*
+ * Runs the control of seats of this daemon: performs what the decisions ask for, answers peers, and publishes what this
+ * daemon may do. Decisions are made under one lock and take no I/O; all calls run in coroutines of the given scope.
+ */
+package yuccaferry.daemon.control
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.mapBoth
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import yuccaferry.daemon.port.Clock
+import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.KeyValueStore
+import yuccaferry.daemon.port.PeerError
+import yuccaferry.daemon.port.SeatPeerHandler
+import yuccaferry.daemon.port.SeatPeers
+import yuccaferry.daemon.port.Telemetry
+import yuccaferry.decisions.seats.AttestationAnswer
+import yuccaferry.decisions.seats.AttestationRequest
+import yuccaferry.decisions.seats.DaemonRecord
+import yuccaferry.decisions.seats.GrantsCall
+import yuccaferry.decisions.seats.HandOverAnswer
+import yuccaferry.decisions.seats.HandOverRequest
+import yuccaferry.decisions.seats.PeerCall
+import yuccaferry.decisions.seats.PromiseAnswer
+import yuccaferry.decisions.seats.PromiseRequest
+import yuccaferry.decisions.seats.SeatEffect
+import yuccaferry.decisions.seats.SeatEvent
+import yuccaferry.decisions.seats.SeatNode
+import yuccaferry.decisions.seats.SeatSettings
+import yuccaferry.decisions.seats.StoreCall
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/** Control of seats; [record] describes this daemon, its session and state aside. */
+class SeatControl(
+    private val record: DaemonRecord,
+    private val settings: SeatSettings,
+    store: KeyValueStore,
+    private val peers: SeatPeers,
+    private val state: SeatState,
+    private val configuration: ConfigurationView,
+    private val clock: Clock,
+    private val telemetry: Telemetry,
+) : SeatPeerHandler {
+    private val node = SeatNode(record, settings)
+    private val store = ControlStore(store, telemetry)
+    private val published = PublishedSeats(record.id, settings, clock, configuration)
+    private val offers = ConcurrentHashMap<Long, Offer>()
+    private val tokens = AtomicLong()
+    private val left = CompletableDeferred<Unit>()
+    private var scope: CoroutineScope? = null
+
+    /** Seats and membership for the rest of the daemon. */
+    val table: SeatTable get() = published
+
+    /** Joins the fleet and keeps its seats in [scope] until the job is cancelled. */
+    fun start(scope: CoroutineScope): Job {
+        this.scope = scope
+        registerGauges()
+        return scope.launch {
+            while (true) {
+                handle(SeatEvent.Tick)
+                delay(TICK_MILLIS)
+            }
+        }
+    }
+
+    /**
+     * Gives all seats away and ends the lease; false when that took longer than [timeoutMillis], in which case the
+     * seats are claimed by others once the lease has lapsed. The job of [start] must still be active.
+     */
+    suspend fun leave(timeoutMillis: Long): Boolean {
+        handle(SeatEvent.Leave)
+        return withTimeoutOrNull(timeoutMillis) { left.await() } != null
+    }
+
+    override suspend fun attest(request: AttestationRequest): AttestationAnswer {
+        count("attest", "in")
+        newerVersion(request)
+        return synchronized(node) {
+            node.configurationInForce(configuration.version)
+            node.attest(request, clock.now()).also { publish() }
+        }
+    }
+
+    override suspend fun promise(request: PromiseRequest): PromiseAnswer {
+        count("promise", "in")
+        return synchronized(node) { node.promise(request, clock.now()) }
+    }
+
+    override suspend fun handOver(request: HandOverRequest): HandOverAnswer {
+        count("hand_over", "in")
+        val token = tokens.incrementAndGet()
+        val offer = Offer(request)
+        offers[token] = offer
+        handle(SeatEvent.HandOverReceived(token, request))
+        return offer.answer.await()
+    }
+
+    private fun handle(event: SeatEvent) {
+        val effects =
+            synchronized(node) {
+                node.configurationInForce(configuration.version)
+                node.handle(event, clock.now()).also { publish() }
+            }
+        effects.forEach(::perform)
+    }
+
+    private fun publish() = published.publish(node)
+
+    private fun perform(effect: SeatEffect) {
+        when (effect) {
+            is StoreCall -> {
+                run {
+                    val sentAt = clock.now()
+                    val answer = store.perform(effect)
+                    handle(SeatEvent.StoreAnswered(effect, sentAt, answer))
+                }
+            }
+
+            is PeerCall -> {
+                run { callPeer(effect) }
+            }
+
+            is GrantsCall -> {
+                performOnGrants(effect)
+            }
+
+            is SeatEffect.AnswerHandOver -> {
+                answerOffer(effect)
+            }
+
+            SeatEffect.Left -> {
+                telemetry.event("control_left", Field("daemon", record.id))
+                left.complete(Unit)
+            }
+        }
+    }
+
+    private fun performOnGrants(call: GrantsCall) {
+        when (call) {
+            is GrantsCall.Import -> {
+                run {
+                    offers.remove(call.token)?.let { state.import(call.seat, call.epoch, it.request.grants) }
+                    handle(SeatEvent.GrantsReady(call.seat, call.epoch))
+                }
+            }
+
+            is GrantsCall.Recover -> {
+                run {
+                    state.recover(call.seat, call.epoch)
+                    handle(SeatEvent.GrantsReady(call.seat, call.epoch))
+                }
+            }
+
+            is GrantsCall.Lose -> {
+                telemetry.event("seat_lost", Field("seat", call.seat))
+                state.lost(call.seat)
+            }
+        }
+    }
+
+    private suspend fun callPeer(call: PeerCall) {
+        val sentAt = clock.now()
+        when (call) {
+            is PeerCall.Attest -> {
+                val answer = answerOf("attest", peers.attest(call.member.peer, call.request))
+                if (answer != null && answer.configuration > configuration.version) {
+                    configuration.newerVersionAt(call.member.peer, answer.configuration)
+                }
+                handle(SeatEvent.AttestationAnswered(call, sentAt, answer))
+            }
+
+            is PeerCall.Promise -> {
+                handle(SeatEvent.PromiseAnswered(call, answerOf("promise", peers.promise(call.member.peer, call.request))))
+            }
+
+            is PeerCall.HandOver -> {
+                val request = HandOverRequest(call.seat, call.epoch, call.revision, call.from, state.export(call.seat))
+                val answer = answerOf("hand_over", peers.handOver(call.to.peer, request))
+                telemetry.event("seat_handed_over", Field("seat", call.seat), Field("to", call.to.id), Field("answer", answer))
+                handle(SeatEvent.HandOverAnswered(call, answer))
+            }
+        }
+    }
+
+    private fun <T> answerOf(
+        kind: String,
+        result: Result<T, PeerError>,
+    ): T? {
+        count(kind, "out")
+        return result.mapBoth(success = { it }, failure = { null })
+    }
+
+    private fun answerOffer(effect: SeatEffect.AnswerHandOver) {
+        val offer = offers[effect.token] ?: return
+        if (effect.answer == HandOverAnswer.NOT_TAKEN) offers.remove(effect.token)
+        offer.answer.complete(effect.answer)
+    }
+
+    private fun newerVersion(request: AttestationRequest) {
+        if (request.configuration <= configuration.version) return
+        val sender = published.members.firstOrNull { it.id == request.holder.daemon } ?: return
+        configuration.newerVersionAt(sender.peer, request.configuration)
+    }
+
+    private fun run(action: suspend () -> Unit) {
+        scope?.launch { action() }
+    }
+
+    private fun count(
+        kind: String,
+        direction: String,
+    ) = telemetry.count("control_peer_calls", 1.0, Field("kind", kind), Field("direction", direction))
+
+    private fun registerGauges() {
+        telemetry.gauge("control_seats_held") { published.heldSeats().size.toDouble() }
+        telemetry.gauge("control_members") { published.members.size.toDouble() }
+        telemetry.gauge("control_confirmed") { if (published.confirmed) 1.0 else 0.0 }
+    }
+
+    private class Offer(
+        val request: HandOverRequest,
+    ) {
+        val answer = CompletableDeferred<HandOverAnswer>()
+    }
+
+    private companion object {
+        const val TICK_MILLIS = 250L
+    }
+}
--- a/daemon/src/main/kotlin/yuccaferry/daemon/control/SeatTable.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/control/SeatTable.kt
@@ -2,6 +2,7 @@
 package yuccaferry.daemon.control
 
 import yuccaferry.decisions.seats.DaemonRecord
+import yuccaferry.decisions.seats.Roster
 import yuccaferry.decisions.seats.SeatId
 import yuccaferry.model.Address
 import yuccaferry.model.ConfigurationVersion
@@ -28,6 +29,9 @@
     /** Every daemon of the fleet with a lease, this one included once it has joined. */
     val members: List<DaemonRecord>
 
+    /** The roster of [region]: the daemons whose majority attests there; without members when there is none. */
+    fun roster(region: RegionName): Roster
+
     /** The seat of [target]; null when its zone belongs to no region of the configuration. */
     fun seatOf(target: Target): SeatId?
 
@@ -65,10 +69,11 @@
     val requiredConfigurationVersion: ConfigurationVersion
 
     /**
-     * Start of the newest contact that proved this daemon current: a read from the key-value service, or attestations
-     * by a majority of its region's roster; null before the first.
+     * When the newest round of attestations by a majority of the region's roster was asked for; their configuration
+     * versions are included in [requiredConfigurationVersion]. Null before the first; asked for only while the
+     * key-value service doesn't answer.
      */
-    val currentAsOf: MonotonicTime?
+    val attestedAsOf: MonotonicTime?
 }
 
 /** The grants of a seat, kept by the grants part; the control of seats moves them as opaque bytes. */
--- /dev/null
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/seats/AttestationBook.kt
@@ -0,0 +1,75 @@
+/*
+ * What a roster member has attested and promised. An attestation lets a holder without a lease continue for a short
+ * time; a promise never to attest again lets a claimant take the holder's seats once the attestations have run out.
+ * As every majority that attests meets every majority that promises, both can't succeed for the same holder.
+ */
+package yuccaferry.decisions.seats
+
+import yuccaferry.model.ConfigurationVersion
+import yuccaferry.model.MonotonicTime
+
+/** The attestations and promises of one daemon. */
+class AttestationBook(
+    private val settings: SeatSettings,
+) {
+    private val attestedUntil = HashMap<Holder, MonotonicTime>()
+    private val promisedAway = HashSet<Holder>()
+    private var promisedRoster = NO_ROSTER
+
+    /** Answers a holder; [attestsUntil] is when this daemon stops attesting for want of a lease of its own. */
+    fun attest(
+        request: AttestationRequest,
+        configuration: ConfigurationVersion,
+        attestsUntil: MonotonicTime,
+        now: MonotonicTime,
+    ): AttestationAnswer {
+        val reason =
+            when {
+                request.holder in promisedAway -> RefusalReason.PROMISED_AWAY
+                spent(request.roster) -> RefusalReason.STALE_ROSTER
+                now >= attestsUntil -> RefusalReason.NOT_ATTESTING
+                else -> null
+            }
+        if (reason != null) return AttestationAnswer.Refused(configuration, reason)
+        attestedUntil[request.holder] = now + settings.attestationMillis
+        return AttestationAnswer.Attested(configuration)
+    }
+
+    /**
+     * Answers a claimant. While an attestation is valid, the promise needs [seesLeaseGone]: that this daemon itself
+     * has read lately that the lease in question is gone, or for a roster that it reaches the store.
+     */
+    fun promise(
+        request: PromiseRequest,
+        seesLeaseGone: Boolean,
+        now: MonotonicTime,
+    ): PromiseAnswer {
+        attestedUntil.values.removeIf { it <= now }
+        val remaining = remainingMillis(request, now)
+        if (remaining > 0 && !seesLeaseGone) return PromiseAnswer.Refused(RefusalReason.HOLDER_ATTESTED)
+        when (request) {
+            is PromiseRequest.Against -> promisedAway += request.holder
+            is PromiseRequest.RosterUpTo -> promisedRoster = maxOf(promisedRoster, request.version)
+        }
+        return PromiseAnswer.Promised(remaining)
+    }
+
+    /** Whether this daemon has promised not to attest under roster [version]. */
+    fun spent(version: Long): Boolean = version <= promisedRoster
+
+    private fun remainingMillis(
+        request: PromiseRequest,
+        now: MonotonicTime,
+    ): Long {
+        val until =
+            when (request) {
+                is PromiseRequest.Against -> attestedUntil[request.holder]
+                is PromiseRequest.RosterUpTo -> attestedUntil.values.maxOrNull()
+            }
+        return until?.let { it - now } ?: 0
+    }
+
+    private companion object {
+        const val NO_ROSTER = -1L
+    }
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/seats/ClaimBook.kt
@@ -0,0 +1,85 @@
+/*
+ * Claims on the seats of holders whose lease is gone: reads the roster after the lease was seen gone, collects the
+ * promises of a majority, and waits until the attestations given before have run out.
+ */
+package yuccaferry.decisions.seats
+
+import yuccaferry.model.MonotonicTime
+import yuccaferry.model.RegionName
+
+/** The claims in progress of one daemon, one for each holder. */
+internal class ClaimBook(
+    private val region: RegionName,
+    private val settings: SeatSettings,
+) {
+    private val claims = HashMap<Holder, Claim>()
+    private var readInFlight = false
+
+    /** Continues the claims on [holders], starts those that are new and forgets all others. */
+    fun tick(
+        holders: Set<Holder>,
+        view: ControlView,
+        now: MonotonicTime,
+    ): List<SeatEffect> {
+        claims.keys.retainAll(holders)
+        holders.forEach { claims.getOrPut(it) { Claim(now) } }
+        val effects = ArrayList<SeatEffect>()
+        for ((holder, claim) in claims) effects += advance(holder, claim, view, now)
+        if (claims.values.any { it.promises == null } && !readInFlight) {
+            readInFlight = true
+            effects += StoreCall.ReadRoster(region)
+        }
+        return effects
+    }
+
+    /** Whether [holder] can't act any more at [now], as far as attestations go. */
+    fun fenced(
+        holder: Holder,
+        now: MonotonicTime,
+    ): Boolean = claims[holder]?.promises?.fencedFrom.let { it != null && it <= now }
+
+    /** Notes the roster read by [event], which [view] has taken in. */
+    fun rosterRead(
+        event: SeatEvent.StoreAnswered,
+        view: ControlView,
+        now: MonotonicTime,
+    ) {
+        readInFlight = false
+        if (event.answer !is StoreAnswer.Contents) return
+        for ((holder, claim) in claims) {
+            if (claim.promises == null && event.sentAt >= claim.startedAt) claim.promises = collection(holder, view, now)
+        }
+    }
+
+    /** Notes a promise. */
+    fun promised(
+        event: SeatEvent.PromiseAnswered,
+        now: MonotonicTime,
+    ) {
+        val request = event.call.request as? PromiseRequest.Against ?: return
+        claims[request.holder]?.promises?.answered(event.call.member.id, event.answer, now)
+    }
+
+    private fun advance(
+        holder: Holder,
+        claim: Claim,
+        view: ControlView,
+        now: MonotonicTime,
+    ): List<SeatEffect> {
+        val promises = claim.promises ?: return emptyList()
+        if (promises.fencedFrom == null && promises.roster != view.roster.roster) claim.promises = collection(holder, view, now)
+        return claim.promises?.round(now).orEmpty()
+    }
+
+    private fun collection(
+        holder: Holder,
+        view: ControlView,
+        now: MonotonicTime,
+    ) = PromiseCollection(PromiseRequest.Against(holder), view.roster.roster, settings, now)
+
+    private class Claim(
+        val startedAt: MonotonicTime,
+    ) {
+        var promises: PromiseCollection? = null
+    }
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/seats/ControlReader.kt
@@ -0,0 +1,67 @@
+// When to read the control records: changes often, the region's daemons in full less often, one read of each at a time.
+package yuccaferry.decisions.seats
+
+import yuccaferry.model.MonotonicTime
+import yuccaferry.model.RegionName
+
+/** Schedules the reads that keep [view] current. */
+internal class ControlReader(
+    private val region: RegionName,
+    private val settings: SeatSettings,
+    private val view: ControlView,
+) {
+    private var changes = Schedule()
+    private var daemons = Schedule()
+
+    /** Whether both kinds of read have succeeded at least once. */
+    val complete: Boolean get() = changes.succeeded && daemons.succeeded
+
+    /** Reads that are due. */
+    fun tick(now: MonotonicTime): List<SeatEffect> =
+        listOfNotNull(
+            if (changes.start(now)) StoreCall.ReadControl(view.revision) else null,
+            if (changes.succeeded && daemons.start(now)) StoreCall.ReadDaemons(region) else null,
+        )
+
+    /** Notes an answer. */
+    fun answered(
+        event: SeatEvent.StoreAnswered,
+        now: MonotonicTime,
+    ) {
+        val contents = event.answer as? StoreAnswer.Contents
+        if (event.call is StoreCall.ReadControl) {
+            contents?.let(view::apply)
+            changes.end(now, contents != null, settings.pollIntervalMillis(view.fleetSize))
+        } else {
+            contents?.let { view.applyDaemons(it, event.sentAt, now) }
+            daemons.end(now, contents != null, settings.fullReadIntervalMillis(view.regionSize))
+        }
+    }
+
+    private class Schedule {
+        private var inFlight = false
+        private var nextAt: MonotonicTime? = null
+        var succeeded = false
+            private set
+
+        fun start(now: MonotonicTime): Boolean {
+            if (inFlight || nextAt.let { it != null && now < it }) return false
+            inFlight = true
+            return true
+        }
+
+        fun end(
+            now: MonotonicTime,
+            success: Boolean,
+            intervalMillis: Long,
+        ) {
+            inFlight = false
+            nextAt = now + if (success) intervalMillis else RETRY_MILLIS
+            succeeded = succeeded || success
+        }
+    }
+
+    private companion object {
+        const val RETRY_MILLIS = 1_000L
+    }
+}
--- a/decisions/src/main/kotlin/yuccaferry/decisions/seats/Messages.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/seats/Messages.kt
@@ -69,10 +69,15 @@
     ) : PromiseAnswer
 }
 
-/** The holder of [seat] under [epoch] has stopped deciding and gives the seat with its grants to the receiver. */
+/**
+ * The holder of [seat] under [epoch] has stopped deciding and gives the seat with its grants to the receiver.
+ *
+ * @property revision store revision of the seat's record, which the receiver replaces.
+ */
 class HandOverRequest(
     val seat: SeatId,
     val epoch: Epoch,
+    val revision: Long,
     val from: Holder,
     val grants: ByteArray,
 )
--- a/decisions/src/main/kotlin/yuccaferry/decisions/seats/SeatSettings.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/seats/SeatSettings.kt
@@ -12,7 +12,12 @@
  * @property grantWindowMillis longest time between the giving and the last use of a grant; waited out after a claim.
  * @property absenceGraceMillis a daemon record must have been seen absent for this long before its seats are claimed.
  * @property continuationLimitMillis longest time for which a daemon without a lease acts or attests.
+ * @property rosterGraceMillis a roster member must have been seen absent for this long before it is replaced.
  * @property rosterSize most members of a roster.
+ * @property pollMillis least time between two reads of changes by one daemon.
+ * @property fullReadMillis least time between two full reads of a region's daemons by one daemon.
+ * @property storeReadsPerSecond reads of changes by all daemons together, which lengthens the poll of a large fleet.
+ * @property silenceMillis attestations are asked for when the store has not answered for this long.
  */
 data class SeatSettings(
     val seatsPerRegion: Int = 64,
@@ -23,8 +28,24 @@
     val grantWindowMillis: Long = GRANT_WINDOW_MILLIS,
     val absenceGraceMillis: Long = 4_000,
     val continuationLimitMillis: Long = 3_600_000,
+    val rosterGraceMillis: Long = 10_000,
     val rosterSize: Int = 9,
-)
+    val pollMillis: Long = 1_000,
+    val fullReadMillis: Long = 3_000,
+    val storeReadsPerSecond: Int = 200,
+    val silenceMillis: Long = 2_500,
+) {
+    /** Time between two reads of changes by one daemon of a fleet of [daemons]. */
+    fun pollIntervalMillis(daemons: Int): Long = maxOf(pollMillis, daemons * MILLIS_PER_SECOND / storeReadsPerSecond)
+
+    /** Time between two full reads of the daemons of a region of [daemons], so that its bytes don't grow with the region. */
+    fun fullReadIntervalMillis(daemons: Int): Long = maxOf(fullReadMillis, daemons * FULL_READ_MILLIS_PER_DAEMON)
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000L
+        const val FULL_READ_MILLIS_PER_DAEMON = 120L
+    }
+}
 
 /** Longest time in milliseconds between the giving of a grant and its last use. */
 const val GRANT_WINDOW_MILLIS = 2_000L
--- /dev/null
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/seats/SeatSpread.kt
@@ -0,0 +1,62 @@
+/*
+ * Which seat a target belongs to and which daemon should hold a seat: rendezvous hashing with a bound on the seats of
+ * one daemon. Pairs of seat and daemon are taken in the order of their hash, so that the result doesn't depend on the
+ * order of the arguments, and a change of one daemon moves few seats.
+ */
+package yuccaferry.decisions.seats
+
+import com.dynatrace.hash4j.hashing.Hashing
+import yuccaferry.model.DaemonId
+import yuccaferry.model.RegionName
+import yuccaferry.model.SeatNumber
+import yuccaferry.model.TargetId
+
+private val hasher = Hashing.komihash5_0()
+
+/** Rendezvous weight of [daemon] for [key]. */
+internal fun weight(
+    key: String,
+    daemon: DaemonId,
+): Long = hasher.hashCharsToLong("$key|${daemon.value}")
+
+/** The seat of [target] among the [seats] of its own [region]. */
+fun seatOfTarget(
+    target: TargetId,
+    region: RegionName,
+    seats: Int,
+): SeatId = SeatId(region, SeatNumber(Math.floorMod(hasher.hashCharsToLong(target.value), seats)))
+
+/** Most seats of one of [daemons] daemons when [seats] seats are spread. */
+fun mostSeats(
+    seats: Int,
+    daemons: Int,
+): Int = (seats + daemons - 1) / daemons
+
+/** The desired holder of each seat; empty when there are no [daemons]. */
+fun spreadSeats(
+    seats: List<SeatId>,
+    daemons: Collection<DaemonId>,
+): Map<SeatId, DaemonId> {
+    if (daemons.isEmpty()) return emptyMap()
+    val pairs = seats.flatMap { seat -> daemons.map { Candidate(seat, it, weight(seat.toString(), it)) } }
+    val room = daemons.associateWithTo(HashMap()) { mostSeats(seats.size, daemons.size) }
+    val holders = HashMap<SeatId, DaemonId>()
+    for (pair in pairs.sortedWith(byWeight)) {
+        val left = room.getValue(pair.daemon)
+        if (left == 0 || pair.seat in holders) continue
+        holders[pair.seat] = pair.daemon
+        room[pair.daemon] = left - 1
+    }
+    return holders
+}
+
+private class Candidate(
+    val seat: SeatId,
+    val daemon: DaemonId,
+    val weight: Long,
+)
+
+private val byWeight =
+    compareByDescending<Candidate> { it.weight }
+        .thenBy { it.seat.number.value }
+        .thenBy { it.daemon.value }
