Decide over targets by seats: a daemon joins, holds its share, and hands it over when it leaves

A decider answers only while its configuration was confirmed within four seconds, by the key-value service or by attestations; the lease alone would let a daemon cut off just after a renewal serve an old configuration for fifteen seconds. An entry that hears of a newer version fetches it and decides anew.

--- a/adapter-peer/src/main/kotlin/yuccaferry/peer/PeerServer.kt
+++ b/adapter-peer/src/main/kotlin/yuccaferry/peer/PeerServer.kt
@@ -4,26 +4,32 @@
 import io.grpc.Server
 import io.grpc.ServerServiceDefinition
 import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder
+import io.grpc.util.MutableHandlerRegistry
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 
 private const val CLOSE_WAIT_MILLIS = 1_000L
 
-/** Serves [services] on [host] and [port]; port zero picks a free one. */
+/** Serves on [host] and [port]; port zero picks a free one. */
 class PeerServer(
     host: String,
     port: Int,
-    services: List<ServerServiceDefinition>,
 ) : AutoCloseable {
+    private val services = MutableHandlerRegistry()
     private val server: Server =
         NettyServerBuilder
             .forAddress(InetSocketAddress(host, port))
-            .apply { services.forEach { addService(it) } }
+            .fallbackHandlerRegistry(services)
             .build()
 
     /** The port that is listened on, once started. */
     val port: Int get() = server.port
 
+    /** Adds [service], also after the start. */
+    fun add(service: ServerServiceDefinition) {
+        services.addService(service)
+    }
+
     /** Binds the port; throws an I/O exception when it is taken. */
     fun start() {
         server.start()
--- a/app/src/main/kotlin/yuccaferry/app/Daemon.kt
+++ b/app/src/main/kotlin/yuccaferry/app/Daemon.kt
@@ -10,12 +10,15 @@
 import yuccaferry.daemon.admin.DaemonPlace
 import yuccaferry.daemon.admin.DaemonView
 import yuccaferry.daemon.configuration.ConfigurationChanges
+import yuccaferry.daemon.configuration.ConfigurationFreshness
 import yuccaferry.daemon.configuration.ConfigurationKeeper
 import yuccaferry.daemon.configuration.ConfigurationSettings
 import yuccaferry.daemon.configuration.ConfigurationSpread
 import yuccaferry.daemon.configuration.Membership
+import yuccaferry.daemon.control.SeatControl
 import yuccaferry.daemon.control.SeatTable
 import yuccaferry.daemon.grants.GrantDecider
+import yuccaferry.daemon.grants.GrantSeatState
 import yuccaferry.daemon.grants.LoadBoard
 import yuccaferry.daemon.grants.OrphanCollector
 import yuccaferry.daemon.grants.SeatTargetAccess
@@ -37,6 +40,9 @@
 import yuccaferry.decisions.configuration.Member
 import yuccaferry.decisions.grants.TargetSummary
 import yuccaferry.decisions.placement.PlacementPolicy
+import yuccaferry.decisions.seats.DaemonRecord
+import yuccaferry.decisions.seats.SeatSettings
+import yuccaferry.decisions.seats.Session
 import yuccaferry.http.admin.OperatorTokens
 import yuccaferry.http.admin.adminModule
 import yuccaferry.http.callers.CallersApi
@@ -46,9 +52,11 @@
 import yuccaferry.peer.ConfigurationPeerService
 import yuccaferry.peer.GrpcConfigurationPeers
 import yuccaferry.peer.GrpcGrantPeers
+import yuccaferry.peer.GrpcSeatPeers
 import yuccaferry.peer.PeerChannels
 import yuccaferry.peer.PeerServer
 import yuccaferry.peer.grantPeerService
+import yuccaferry.peer.seatPeerService
 import yuccaferry.platform.EtcdKeyValueStore
 import yuccaferry.platform.HttpInstanceList
 import yuccaferry.platform.StoreCallListener
@@ -60,6 +68,7 @@
 import java.util.UUID
 
 private const val TICK_MILLIS = 50L
+private const val SEATS_LEAVE_MILLIS = 10_000L
 private const val NANOS_PER_MILLI = 1_000_000L
 private const val ID_CHARACTERS = 8
 
@@ -79,8 +88,11 @@
     private val configurationPeers = GrpcConfigurationPeers(channels)
     private val grantPeers = GrpcGrantPeers(channels)
     private val policy = checkNotNull(PlacementPolicy.of(settings.policy))
+    private val peerServer = PeerServer(settings.peers.host, settings.peers.port)
     private var peerAddress = Address("")
-    private var seatTable: SeatTable = AloneSeatTable(id, peerAddress)
+    private var control: SeatControl? = null
+    private val startingTable = StartingSeatTable(id)
+    private val seatTable: SeatTable get() = control?.table ?: startingTable
 
     private val keeper =
         ConfigurationKeeper(
@@ -92,11 +104,12 @@
             settings = ConfigurationSettings(pollMillis = settings.control.configurationPollMillis),
         )
     private val configuration = { keeper.current }
+    private val freshness = ConfigurationFreshness(keeper, { seatTable }, clock)
     private val spread = ConfigurationSpread(keeper, configurationPeers, ::membership, scope)
     private val changes = ConfigurationChanges(keeper, spread, telemetry)
     private val instances = HttpInstanceList(settings.platform.instances, settings.platform.timeoutMillis)
     private val directory = TargetDirectory(instances, configuration, telemetry, settings.control.instancePollMillis)
-    private val decider = GrantDecider({ seatTable }, directory, configuration, clock, telemetry)
+    private val decider = GrantDecider({ seatTable }, directory, configuration, { freshness.isFresh }, clock, telemetry)
     private val orphans = OrphanCollector({ seatTable }, engines, clock, telemetry, settings.control.orphanGraceMillis)
     private val observer = TargetObserver(decider, engines, orphans, clock, settings.control.observeMillis)
     private val board = LoadBoard(directory, policy, clock)
@@ -111,7 +124,7 @@
             decider = decider,
             peers = grantPeers,
             configuration = configuration,
-            heardVersion = { version, peer -> scope.launch { keeper.heard(version, peer) } },
+            heardVersion = { version, peer -> keeper.heard(version, peer) },
             clock = clock,
             telemetry = telemetry,
             scope = scope,
@@ -156,30 +169,57 @@
         )
 
     private lateinit var adminServer: NettyServer
-    private lateinit var peerServer: PeerServer
     private lateinit var callersServer: NettyServer
 
     /** Starts serving; prints one line for each port that is listened on. */
     suspend fun start() {
-        peerServer = PeerServer(settings.peers.host, settings.peers.port, peerServices())
         peerServer.start()
         peerAddress = Address("${settings.peers.host}:${peerServer.port}")
-        seatTable = AloneSeatTable(id, peerAddress)
+        peerServer.add(grantPeerService(scope, GrantHandler()))
+        peerServer.add(ConfigurationPeerService(keeper).definition())
+        adminServer = startServer(settings.admin) { adminModule(changes, view, OperatorTokens(settings.operators), telemetry::scrape) }
         keeper.refresh()
         directory.refresh()
         keeper.start(scope)
         directory.start(scope)
+        join()
         observer.start(scope)
         sharing.start(scope)
         scope.launch { tickForever() }
         callersServer = startServer(settings.callers) { callersApi.install(this) }
-        adminServer = startServer(settings.admin) { adminModule(changes, view, OperatorTokens(settings.operators), telemetry::scrape) }
         announce("admin", settings.admin.host, portOf(adminServer))
         announce("peers", settings.peers.host, peerServer.port)
         announce("callers", settings.callers.host, portOf(callersServer))
         telemetry.event("started", Field("id", id), Field("zone", settings.zone))
     }
 
+    private suspend fun join() {
+        val record =
+            DaemonRecord(
+                id = id,
+                session = Session(0),
+                name = settings.name,
+                region = settings.region,
+                zone = settings.zone,
+                peer = peerAddress,
+                admin = Address("${settings.admin.host}:${portOf(adminServer)}"),
+            )
+        val joining =
+            SeatControl(
+                record = record,
+                settings = SeatSettings(seatsPerRegion = settings.control.seatsPerRegion, leaseMillis = settings.control.leaseMillis),
+                store = store,
+                peers = GrpcSeatPeers(channels),
+                state = GrantSeatState(decider, observer, telemetry),
+                configuration = SeatConfigurationView(keeper, scope),
+                clock = clock,
+                telemetry = telemetry,
+            )
+        control = joining
+        peerServer.add(seatPeerService(scope, joining))
+        joining.start(scope)
+    }
+
     /** Leaves gracefully: no new callers are invited, and all requests in progress are finished. */
     suspend fun leave() {
         telemetry.event("leaving")
@@ -187,6 +227,7 @@
         delay(settings.limits.drainLagMillis)
         val until = clock.now() + settings.limits.drainMillis
         while (admission.inProgress > 0 && clock.now() < until) delay(TICK_MILLIS)
+        control?.leave(SEATS_LEAVE_MILLIS)
         stop()
     }
 
@@ -208,17 +249,11 @@
         }
     }
 
-    private fun membership() =
-        Membership(
-            self = Member(peerAddress, settings.region),
-            others = settings.peerSeeds.map { Member(it.address, it.region) }.filter { it.address != peerAddress },
-        )
-
-    private fun peerServices() =
-        listOf(
-            grantPeerService(scope, GrantHandler()),
-            ConfigurationPeerService(keeper).definition(),
-        )
+    private fun membership(): Membership {
+        val joined = seatTable.members.filter { it.id != id }.map { Member(it.peer, it.region) }
+        val seeds = settings.peerSeeds.map { Member(it.address, it.region) }.filter { it.address != peerAddress }
+        return Membership(self = Member(peerAddress, settings.region), others = joined.ifEmpty { seeds })
+    }
 
     private inner class GrantHandler : GrantPeerHandler {
         override suspend fun ask(request: AskRequest): AskAnswer = decider.ask(request)
--- a/daemon/src/main/kotlin/yuccaferry/daemon/admin/DaemonView.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/admin/DaemonView.kt
@@ -52,7 +52,6 @@
         if (admission.isDraining) reasons += "this daemon is leaving"
         if (!keeper.settled.value) reasons += "the newest configuration is not known yet"
         if (keeper.current.version.value == 0L) reasons += "no configuration has been applied"
-        if (!seats().confirmed) reasons += "this daemon can't confirm that its configuration is current"
         return Readiness(reasons.isEmpty(), reasons)
     }
 
--- a/daemon/src/main/kotlin/yuccaferry/daemon/grants/GrantDecider.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/grants/GrantDecider.kt
@@ -40,6 +40,7 @@
     private val seats: () -> SeatTable,
     private val directory: TargetDirectory,
     private val configuration: () -> Configuration,
+    private val isFresh: () -> Boolean,
     private val clock: Clock,
     private val telemetry: Telemetry,
 ) {
@@ -187,7 +188,7 @@
 
     private fun desksOf(seat: SeatId) = desks.values.filter { seats().seatOf(it.target) == seat }
 
-    private fun decidingEpoch(target: Target): Epoch? = if (seats().confirmed) seats().mayDecide(target) else null
+    private fun decidingEpoch(target: Target): Epoch? = if (isFresh()) seats().mayDecide(target) else null
 
     private fun deskOf(target: Target): Desk? {
         desks[target.id]?.let { return it }
--- a/daemon/src/main/kotlin/yuccaferry/daemon/grants/OrphanCollector.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/grants/OrphanCollector.kt
@@ -34,7 +34,7 @@
         held: HeldWork,
     ) {
         val table = seats()
-        if (!table.confirmed || table.mayDecide(target) == null) return
+        if (table.mayDecide(target) == null) return
         val dead = deadAmong(held.items.map { it.owner }.toSet(), table)
         held.items.filter { it.owner in dead }.forEach { free(target, it) }
     }
--- a/daemon/src/main/kotlin/yuccaferry/daemon/grants/SeatTargetAccess.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/grants/SeatTargetAccess.kt
@@ -61,7 +61,7 @@
     private val decider: GrantDecider,
     private val peers: GrantPeers,
     private val configuration: () -> Configuration,
-    private val heardVersion: (ConfigurationVersion, Address) -> Unit,
+    private val heardVersion: suspend (ConfigurationVersion, Address) -> Unit,
     private val clock: Clock,
     private val telemetry: Telemetry,
     private val scope: CoroutineScope,
@@ -71,8 +71,7 @@
         excluded: Set<TargetId>,
         deadline: MonotonicTime,
     ): Result<Grant, AccessRefusal> {
-        val account = configuration().file.accounts.firstOrNull { it.name == demand.account } ?: return Err(AccessRefusal.NoTarget)
-        val acquisition = Acquisition(demand, account, excluded, deadline)
+        val acquisition = Acquisition(demand, excluded, deadline)
         val started = clock.now()
         val result = acquisition.run()
         telemetry.time("yuccaferry.grant.wait", clock.now() - started, Field("class", demand.lengthClass), Field("granted", result.isOk))
@@ -83,7 +82,7 @@
         demand: Demand,
         excluded: Set<TargetId>,
     ): List<PartTarget> {
-        val account = configuration().file.accounts.firstOrNull { it.name == demand.account } ?: return emptyList()
+        val account = accountOf(demand) ?: return emptyList()
         return directory.targets
             .filter { it.serves == demand.serves && it.id !in excluded }
             .filter { directory.inService(it) && directory.serves(it, account) && seats().holderOf(it) != null }
@@ -96,14 +95,10 @@
         demand: Demand,
         deadline: MonotonicTime,
     ): Result<Grant, AccessRefusal> {
-        val account = configuration().file.accounts.firstOrNull { it.name == demand.account } ?: return Err(AccessRefusal.NoTarget)
-        if (!seats().confirmed) return Err(notConfirmed())
-        val acquisition = Acquisition(demand, account, emptySet(), deadline)
+        val acquisition = Acquisition(demand, emptySet(), deadline)
         return acquisition.on(target)?.let { Ok(it) } ?: Err(AccessRefusal.Full)
     }
 
-    private fun notConfirmed() = AccessRefusal.NotConfirmed("this daemon can't confirm that its configuration is current")
-
     override fun release(
         grant: Grant,
         outcome: UseOutcome,
@@ -127,9 +122,10 @@
         }
     }
 
+    private fun accountOf(demand: Demand) = configuration().file.accounts.firstOrNull { it.name == demand.account }
+
     private inner class Acquisition(
         private val demand: Demand,
-        private val account: AccountEntry,
         private val excluded: Set<TargetId>,
         private val deadline: MonotonicTime,
     ) {
@@ -142,7 +138,8 @@
                         AccessRefusal.NotConfirmed("this daemon can't confirm that its configuration is current"),
                     )
                 }
-                val ranked = board.rank(demand) { isEligible(it) }
+                val account = accountOf(demand) ?: return Err(AccessRefusal.NoTarget)
+                val ranked = board.rank(demand) { isEligible(it, account) }
                 if (ranked.isEmpty()) return Err(AccessRefusal.NoTarget)
                 val fitting = ranked.filter { fits(it) }
                 if (fitting.isEmpty()) return Err(AccessRefusal.TooLarge(ranked.maxOf { capacity(it) }))
@@ -186,23 +183,28 @@
             sent = clock.now()
             val request = AskRequest(target.id, askOf(), waitMillis, configuration().version)
             val result = if (holder.holder == self) Ok(decider.ask(request)) else peers.ask(holder.peer, request)
-            return result.fold(
-                success = { learned(it, holder) },
-                failure = { lost(target, it) },
-            )
+            val answer = result.fold(success = { it }, failure = { return lost(target, it) })
+            learned(answer)
+            return if (answer.configuration > request.configuration) outdated(target, answer, holder) else answer
         }
 
-        private fun learned(
+        /** The decider has a newer configuration: it is fetched, and the request is decided anew by it. */
+        private suspend fun outdated(
+            target: Target,
             answer: AskAnswer,
             holder: SeatView,
-        ): AskAnswer {
-            if (answer.configuration > configuration().version) heardVersion(answer.configuration, holder.peer)
+        ): AskAnswer? {
+            heardVersion(answer.configuration, holder.peer)
+            if (answer is AskAnswer.Given) deliver(target, ReleaseNotice(target.id, demand.request, UseOutcome.UNUSED))
+            return null
+        }
+
+        private fun learned(answer: AskAnswer) {
             when (answer) {
                 is AskAnswer.Given -> board.update(answer.summary)
                 is AskAnswer.Denied -> board.update(answer.summary)
                 is AskAnswer.NotDeciding -> Unit
             }
-            return answer
         }
 
         /** The grant may have been given; it is given back so that it does not stand until it ends by itself. */
@@ -229,11 +231,14 @@
                 prefillTokens = demand.promptTokens,
                 long = demand.lengthClass == LengthClass.LONG,
                 priority = policy.priorityOf(demand, clock.now() - started),
-                weight = account.weight,
+                weight = accountOf(demand)?.weight ?: 1,
                 timeLeftMillis = deadline - clock.now(),
             )
 
-        private fun isEligible(target: Target) = target.id !in excluded && directory.inService(target) && directory.serves(target, account)
+        private fun isEligible(
+            target: Target,
+            account: AccountEntry,
+        ) = target.id !in excluded && directory.inService(target) && directory.serves(target, account)
 
         private fun fits(target: Target) = capacity(target) >= demand.heldTokens
 
