--- /dev/null
+++ b/ctl/src/main/kotlin/yuccaferry/ctl/Change.kt
@@ -0,0 +1,54 @@
+/*
+ * Makes one change of the configuration. The change has an attempt id from the start; when an answer
+ * is lost, the configuration is read back and the id looked up in it, and only a change that is not
+ * there is sent again, with the same id.
+ */
+package yuccaferry.ctl
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import kotlinx.coroutines.delay
+import yuccaferry.model.AttemptId
+import yuccaferry.model.Configuration
+import yuccaferry.model.admin.AdminErrorCode
+import yuccaferry.model.admin.ChangeAnswer
+import yuccaferry.model.admin.ChangeState
+import java.util.UUID
+
+private const val SEND_TRIES = 3
+private const val RETRY_MILLIS = 500L
+
+/** Posts a change to [path] until its outcome is known, or the tries are used up. */
+internal suspend fun Session.change(
+    path: String,
+    body: String = "",
+): Result<ChangeAnswer, CallError> {
+    val attempt = AttemptId(UUID.randomUUID().toString())
+    var last: CallError = CallError.Unreachable("")
+    repeat(SEND_TRIES) { n ->
+        if (n > 0) {
+            delay(RETRY_MILLIS * n)
+            findMade(attempt)?.let { return Ok(it) }
+        }
+        val answer = client.post<ChangeAnswer>(path, body, attempt)
+        last = answer.getError() ?: return answer
+        if (!isUncertain(last)) return answer
+        note("the outcome is not known yet; reading back change $attempt")
+    }
+    findMade(attempt)?.let { return Ok(it) }
+    return Err(last)
+}
+
+/** The change as a daemon has it in force; held by one daemon at least, which does not make it accepted yet. */
+private suspend fun Session.findMade(attempt: AttemptId): ChangeAnswer? =
+    client
+        .get<Configuration>("/v1/configuration")
+        .get()
+        ?.versionMadeBy(attempt)
+        ?.let { ChangeAnswer(it, ChangeState.PENDING) }
+
+private fun isUncertain(error: CallError): Boolean =
+    error is CallError.Lost || (error is CallError.Refused && error.error.code == AdminErrorCode.OUTCOME_UNKNOWN)
