--- a/adapter-peer/src/main/kotlin/yuccaferry/peer/PeerServer.kt
+++ b/adapter-peer/src/main/kotlin/yuccaferry/peer/PeerServer.kt
@@ -1,25 +1,28 @@
 // The server of the calls between daemons: one port, one service for each part of the daemon that answers peers.
 package yuccaferry.peer
 
+import io.grpc.HandlerRegistry
 import io.grpc.Server
+import io.grpc.ServerMethodDefinition
 import io.grpc.ServerServiceDefinition
 import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder
-import io.grpc.util.MutableHandlerRegistry
 import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 
 private const val CLOSE_WAIT_MILLIS = 1_000L
 
-/** Serves on [host] and [port]; port zero picks a free one. */
+/** Serves [services], and those added later, on [host] and [port]; port zero picks a free one. */
 class PeerServer(
     host: String,
     port: Int,
+    services: List<ServerServiceDefinition> = emptyList(),
 ) : AutoCloseable {
-    private val services = MutableHandlerRegistry()
+    private val registry = AddedServices().apply { services.forEach { add(it) } }
     private val server: Server =
         NettyServerBuilder
             .forAddress(InetSocketAddress(host, port))
-            .fallbackHandlerRegistry(services)
+            .fallbackHandlerRegistry(registry)
             .build()
 
     /** The port that is listened on, once started. */
@@ -27,7 +30,7 @@
 
     /** Adds [service], also after the start. */
     fun add(service: ServerServiceDefinition) {
-        services.addService(service)
+        registry.add(service)
     }
 
     /** Binds the port; throws an I/O exception when it is taken. */
@@ -40,3 +43,17 @@
         if (!server.awaitTermination(CLOSE_WAIT_MILLIS, TimeUnit.MILLISECONDS)) server.shutdownNow()
     }
 }
+
+/** Methods of the services added so far, by full name. */
+private class AddedServices : HandlerRegistry() {
+    private val methods = ConcurrentHashMap<String, ServerMethodDefinition<*, *>>()
+
+    fun add(service: ServerServiceDefinition) {
+        service.methods.forEach { methods[it.methodDescriptor.fullMethodName] = it }
+    }
+
+    override fun lookupMethod(
+        methodName: String,
+        authority: String?,
+    ): ServerMethodDefinition<*, *>? = methods[methodName]
+}
--- a/app/src/main/kotlin/yuccaferry/app/Daemon.kt
+++ b/app/src/main/kotlin/yuccaferry/app/Daemon.kt
@@ -15,6 +15,7 @@
 import yuccaferry.daemon.configuration.ConfigurationSettings
 import yuccaferry.daemon.configuration.ConfigurationSpread
 import yuccaferry.daemon.configuration.Membership
+import yuccaferry.daemon.configuration.SeatConfigurationView
 import yuccaferry.daemon.control.SeatControl
 import yuccaferry.daemon.control.SeatTable
 import yuccaferry.daemon.grants.GrantDecider
--- a/daemon/src/main/kotlin/yuccaferry/daemon/grants/SeatTargetAccess.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/grants/SeatTargetAccess.kt
@@ -133,11 +133,6 @@
 
         suspend fun run(): Result<Grant, AccessRefusal> {
             while (clock.now() < deadline) {
-                if (!seats().confirmed) {
-                    return Err(
-                        AccessRefusal.NotConfirmed("this daemon can't confirm that its configuration is current"),
-                    )
-                }
                 val account = accountOf(demand) ?: return Err(AccessRefusal.NoTarget)
                 val ranked = board.rank(demand) { isEligible(it, account) }
                 if (ranked.isEmpty()) return Err(AccessRefusal.NoTarget)
