--- a/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
@@ -1,7 +1,10 @@
+@file:OptIn(ExperimentalCoroutinesApi::class)
+
 package yuccaferry.daemon.configuration
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
--- /dev/null
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationRaceTest.kt
@@ -0,0 +1,191 @@
+/*
+ * Operators race through several daemons while answers of the store are lost, late writes land, the
+ * store goes away and daemons are cut off from each other. Everything is drawn from one seed and runs
+ * in virtual time.
+ */
+@file:OptIn(ExperimentalCoroutinesApi::class)
+
+package yuccaferry.daemon.configuration
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import yuccaferry.model.AttemptId
+import yuccaferry.model.Configuration
+import yuccaferry.model.ConfigurationVersion
+import yuccaferry.model.MonotonicTime
+import yuccaferry.model.ZoneName
+import kotlin.random.Random
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+private const val DAEMONS = 5
+private const val OPERATORS = 4
+private const val CHANGES_EACH = 6
+private const val LOST_SHARE = 0.3
+private const val SAMPLE_MILLIS = 5L
+
+/** What one operator asked for, and what the daemon answered. */
+private class Asked(
+    val attempt: AttemptId,
+    val weight: Int?,
+    val zone: ZoneName?,
+    val out: Boolean,
+) {
+    var answer: Result<ConfigurationVersion, ChangeError> = Err(ChangeError.Uncertain("not answered yet"))
+}
+
+class ConfigurationRaceTest {
+    @Property(tries = 150, seed = "20261204")
+    fun `versions form one order and every answer to an operator is true`(
+        @ForAll seed: Long,
+    ) = runTest {
+        val race = Race(this, seed)
+        race.run()
+        race.check()
+    }
+}
+
+private class Race(
+    private val scope: TestScope,
+    seed: Long,
+) {
+    private val random = Random(seed)
+    private val store = FakeStore(random, scope)
+    private val peers = FakePeers()
+    private val members = List(DAEMONS) { member("d$it") }
+    private val keepers = members.map { keeper(it.address.value) }
+    private val asked = mutableListOf<Asked>()
+    private val wentDown = mutableListOf<String>()
+
+    suspend fun run() {
+        store.lose = { if (random.nextDouble() < LOST_SHARE) LostWrite.entries.random(random) else null }
+        val polls = keepers.map { it.start(scope) }
+        val background = listOf(scope.launch { disturb() }, scope.launch { watchVersions() })
+        List(OPERATORS) { n -> scope.launch { operate(n) } }.joinAll()
+        background.forEach { it.cancelAndJoin() }
+        settle(polls)
+    }
+
+    fun check() {
+        val records = store.written.map { checkNotNull(ConfigurationCodec.decode(it.value)) }
+        assertEquals((1L..records.size).toList(), records.map { it.version.value }, "versions in the order of writes")
+        assertEquals(emptyList(), wentDown)
+        val made = records.associateBy { it.attempt }
+        assertEquals(records.size, made.size, "a change was made twice")
+        asked.forEach { checkAnswer(it, made[it.attempt]) }
+        records.forEachIndexed { i, record -> checkStep(records.getOrElse(i - 1) { Configuration.EMPTY }, record) }
+        keepers.forEach { assertEquals(records.last(), it.current) }
+    }
+
+    private fun checkAnswer(
+        change: Asked,
+        record: Configuration?,
+    ) {
+        val version = change.answer.get()
+        when (change.answer.getError()) {
+            null -> {
+                assertEquals(version, record?.version, "version of accepted change ${change.attempt}")
+            }
+
+            is ChangeError.Uncertain -> {}
+
+            else -> {
+                assertEquals(null, record, "change ${change.attempt} was made but answered ${change.answer}")
+            }
+        }
+    }
+
+    private fun checkStep(
+        before: Configuration,
+        after: Configuration,
+    ) {
+        val change = asked.first { it.attempt == after.attempt }
+        val zone = change.zone
+        if (zone == null) {
+            assertEquals(change.weight, weightOf(after))
+            assertEquals(before.zonesOut, after.zonesOut)
+        } else {
+            assertEquals(before.file, after.file)
+            assertEquals(if (change.out) before.zonesOut + zone else before.zonesOut - zone, after.zonesOut)
+        }
+    }
+
+    private suspend fun operate(operator: Int) {
+        repeat(CHANGES_EACH) { n ->
+            delay(random.nextLong(300))
+            val keeper = keepers.random(random)
+            val attempt = AttemptId("o$operator-$n")
+            val base = keeper.current.version
+            val change =
+                if (random.nextBoolean() || base == ConfigurationVersion.NONE) {
+                    Asked(attempt, random.nextInt(1, 1_000), null, out = false)
+                } else {
+                    Asked(attempt, null, ZoneName(listOf("a", "b").random(random)), random.nextBoolean())
+                }
+            asked += change
+            change.answer =
+                if (change.weight != null) {
+                    keeper.apply(file(change.weight), base, author(attempt.value))
+                } else {
+                    keeper.setZone(checkNotNull(change.zone), change.out, author(attempt.value))
+                }
+        }
+    }
+
+    private suspend fun disturb() {
+        while (true) {
+            delay(random.nextLong(1_000))
+            store.away = random.nextInt(4) == 0
+            peers.cut.clear()
+            peers.cut += members.filter { random.nextInt(3) == 0 }.map { it.address }
+        }
+    }
+
+    private suspend fun watchVersions() {
+        val highest = keepers.map { it.current.version }.toMutableList()
+        while (true) {
+            keepers.forEachIndexed { i, keeper ->
+                val version = keeper.current.version
+                if (version < highest[i]) wentDown += "d$i from ${highest[i]} to $version"
+                highest[i] = version
+            }
+            delay(SAMPLE_MILLIS)
+        }
+    }
+
+    private suspend fun settle(polls: List<Job>) {
+        store.away = false
+        store.lose = { null }
+        delay(3_000)
+        polls.forEach { it.cancelAndJoin() }
+        assertTrue(keepers.all { it.refresh() })
+    }
+
+    private fun keeper(address: String): ConfigurationKeeper {
+        val self = members.first { it.address.value == address }
+        val membership = Membership(self, members - self)
+        val clock = { MonotonicTime(scope.currentTime) }
+        val keeper = ConfigurationKeeper(store, clock, SilentTelemetry, peers, { membership }, random = random)
+        peers.keepers[self.address] = keeper
+        return keeper
+    }
+}
+
+private fun weightOf(configuration: Configuration) =
+    configuration.file.accounts
+        .single()
+        .weight
--- a/daemon/src/test/kotlin/yuccaferry/daemon/configuration/FakeStore.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/FakeStore.kt
@@ -37,7 +37,10 @@
 
     override suspend fun read(key: String): Result<StoredValue?, StoreError> {
         pause()
-        return if (away) Err(StoreError.NotApplied("away")) else Ok(values[key])
+        if (away) return Err(StoreError.NotApplied("away"))
+        val value = values[key]
+        pause()
+        return Ok(value)
     }
 
     override suspend fun readPrefix(
@@ -46,7 +49,9 @@
     ): Result<PrefixSnapshot, StoreError> {
         pause()
         if (away) return Err(StoreError.NotApplied("away"))
-        return Ok(PrefixSnapshot(revision, values.values.filter { it.key.startsWith(prefix) && it.revision > afterRevision }))
+        val snapshot = PrefixSnapshot(revision, values.values.filter { it.key.startsWith(prefix) && it.revision > afterRevision })
+        pause()
+        return Ok(snapshot)
     }
 
     override suspend fun compareAndSwap(
