--- a/daemon/src/main/kotlin/yuccaferry/daemon/grants/SeatTargetAccess.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/grants/SeatTargetAccess.kt
@@ -20,6 +20,7 @@
 import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.Grant
 import yuccaferry.daemon.port.GrantPeers
+import yuccaferry.daemon.port.PartTarget
 import yuccaferry.daemon.port.PeerError
 import yuccaferry.daemon.port.ReleaseNotice
 import yuccaferry.daemon.port.TargetAccess
@@ -60,7 +61,7 @@
     private val decider: GrantDecider,
     private val peers: GrantPeers,
     private val configuration: () -> Configuration,
-    private val heardVersion: (ConfigurationVersion, Address) -> Unit,
+    private val heardVersion: suspend (ConfigurationVersion, Address) -> Unit,
     private val clock: Clock,
     private val telemetry: Telemetry,
     private val scope: CoroutineScope,
@@ -70,14 +71,34 @@
         excluded: Set<TargetId>,
         deadline: MonotonicTime,
     ): Result<Grant, AccessRefusal> {
-        val account = configuration().file.accounts.firstOrNull { it.name == demand.account } ?: return Err(AccessRefusal.NoTarget)
-        val acquisition = Acquisition(demand, account, excluded, deadline)
+        val acquisition = Acquisition(demand, excluded, deadline)
         val started = clock.now()
         val result = acquisition.run()
         telemetry.time("yuccaferry.grant.wait", clock.now() - started, Field("class", demand.lengthClass), Field("granted", result.isOk))
         return result
     }
 
+    override fun partTargets(
+        demand: Demand,
+        excluded: Set<TargetId>,
+    ): List<PartTarget> {
+        val account = accountOf(demand) ?: return emptyList()
+        return directory.targets
+            .filter { it.serves == demand.serves && it.id !in excluded }
+            .filter { directory.inService(it) && directory.serves(it, account) && seats().holderOf(it) != null }
+            .sortedBy { board.view(it.id)?.heldTokens ?: Long.MAX_VALUE }
+            .map { PartTarget(it, directory.limitsOf(it)?.kvTokens ?: 0) }
+    }
+
+    override suspend fun acquireOn(
+        target: Target,
+        demand: Demand,
+        deadline: MonotonicTime,
+    ): Result<Grant, AccessRefusal> {
+        val acquisition = Acquisition(demand, emptySet(), deadline)
+        return acquisition.on(target)?.let { Ok(it) } ?: Err(AccessRefusal.Full)
+    }
+
     override fun release(
         grant: Grant,
         outcome: UseOutcome,
@@ -101,9 +122,10 @@
         }
     }
 
+    private fun accountOf(demand: Demand) = configuration().file.accounts.firstOrNull { it.name == demand.account }
+
     private inner class Acquisition(
         private val demand: Demand,
-        private val account: AccountEntry,
         private val excluded: Set<TargetId>,
         private val deadline: MonotonicTime,
     ) {
@@ -116,7 +138,8 @@
                         AccessRefusal.NotConfirmed("this daemon can't confirm that its configuration is current"),
                     )
                 }
-                val ranked = board.rank(demand) { isEligible(it) }
+                val account = accountOf(demand) ?: return Err(AccessRefusal.NoTarget)
+                val ranked = board.rank(demand) { isEligible(it, account) }
                 if (ranked.isEmpty()) return Err(AccessRefusal.NoTarget)
                 val fitting = ranked.filter { fits(it) }
                 if (fitting.isEmpty()) return Err(AccessRefusal.TooLarge(ranked.maxOf { capacity(it) }))
@@ -126,6 +149,12 @@
             return Err(AccessRefusal.Full)
         }
 
+        /** Waits for room on [target] until the deadline. */
+        suspend fun on(target: Target): Grant? {
+            val answer = ask(target, maxOf(0, deadline - clock.now()))
+            return if (answer is AskAnswer.Given) grantOf(target, answer) else null
+        }
+
         /** Asks each of [targets] for room at once, then waits for the best one. */
         private suspend fun round(targets: List<Target>): Grant? {
             var queueAt: Target? = null
@@ -154,23 +183,28 @@
             sent = clock.now()
             val request = AskRequest(target.id, askOf(), waitMillis, configuration().version)
             val result = if (holder.holder == self) Ok(decider.ask(request)) else peers.ask(holder.peer, request)
-            return result.fold(
-                success = { learned(it, holder) },
-                failure = { lost(target, it) },
-            )
+            val answer = result.fold(success = { it }, failure = { return lost(target, it) })
+            learned(answer)
+            return if (answer.configuration > request.configuration) outdated(target, answer, holder) else answer
         }
 
-        private fun learned(
+        /** The decider has a newer configuration: it is fetched, and the request is decided anew by it. */
+        private suspend fun outdated(
+            target: Target,
             answer: AskAnswer,
             holder: SeatView,
-        ): AskAnswer {
-            if (answer.configuration > configuration().version) heardVersion(answer.configuration, holder.peer)
+        ): AskAnswer? {
+            heardVersion(answer.configuration, holder.peer)
+            if (answer is AskAnswer.Given) deliver(target, ReleaseNotice(target.id, demand.request, UseOutcome.UNUSED))
+            return null
+        }
+
+        private fun learned(answer: AskAnswer) {
             when (answer) {
                 is AskAnswer.Given -> board.update(answer.summary)
                 is AskAnswer.Denied -> board.update(answer.summary)
                 is AskAnswer.NotDeciding -> Unit
             }
-            return answer
         }
 
         /** The grant may have been given; it is given back so that it does not stand until it ends by itself. */
@@ -197,11 +231,14 @@
                 prefillTokens = demand.promptTokens,
                 long = demand.lengthClass == LengthClass.LONG,
                 priority = policy.priorityOf(demand, clock.now() - started),
-                weight = account.weight,
+                weight = accountOf(demand)?.weight ?: 1,
                 timeLeftMillis = deadline - clock.now(),
             )
 
-        private fun isEligible(target: Target) = target.id !in excluded && directory.inService(target) && directory.serves(target, account)
+        private fun isEligible(
+            target: Target,
+            account: AccountEntry,
+        ) = target.id !in excluded && directory.inService(target) && directory.serves(target, account)
 
         private fun fits(target: Target) = capacity(target) >= demand.heldTokens
 
