--- a/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
@@ -117,6 +117,17 @@
                 val error = keeper("one").apply(file(weight = 1), ConfigurationVersion(0), author("x")).getError()
                 assertIs<ChangeError.Uncertain>(error)
             }
+
+        @Test
+        fun `stays uncertain when it is not there yet and further tries are refused`() =
+            runTest {
+                store.lose = {
+                    store.refusesWrites = true
+                    LostWrite.APPLIED_LATE
+                }
+                val error = keeper("one").apply(file(weight = 1), ConfigurationVersion(0), author("x")).getError()
+                assertIs<ChangeError.Uncertain>(error)
+            }
     }
 
     @Nested
--- a/daemon/src/test/kotlin/yuccaferry/daemon/configuration/FakeStore.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/FakeStore.kt
@@ -33,6 +33,7 @@
     private var revision = 1L
     var lose: () -> LostWrite? = { null }
     var away = false
+    var refusesWrites = false
     val written = mutableListOf<StoredValue>()
 
     override suspend fun read(key: String): Result<StoredValue?, StoreError> {
@@ -61,7 +62,7 @@
         lease: LeaseId?,
     ): Result<SwapOutcome, StoreError> {
         pause()
-        if (away) return Err(StoreError.NotApplied("away"))
+        if (away || refusesWrites) return Err(StoreError.NotApplied("away"))
         val lost = lose() ?: return Ok(swap(key, expectedRevision, value)).also { pause() }
         when (lost) {
             LostWrite.APPLIED -> {
