--- a/standin/src/main/kotlin/yuccaferry/standin/service/ServiceCommand.kt
+++ b/standin/src/main/kotlin/yuccaferry/standin/service/ServiceCommand.kt
@@ -4,17 +4,20 @@
  */
 package yuccaferry.standin.service
 
+import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.httpMethod
 import io.ktor.server.request.path
 import io.ktor.server.request.receive
 import io.ktor.server.request.uri
+import io.ktor.server.response.respondBytesWriter
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.get
 import io.ktor.server.routing.put
 import io.ktor.server.routing.route
 import io.ktor.server.routing.routing
+import io.ktor.utils.io.writeStringUtf8
 import kotlinx.cli.ExperimentalCli
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
@@ -26,6 +29,7 @@
 import yuccaferry.standin.server.receiveFaults
 import yuccaferry.standin.server.respondError
 import yuccaferry.standin.server.respondJson
+import yuccaferry.standin.standInJson
 
 /**
  * Faults of the service.
@@ -34,6 +38,7 @@
  * @property delayAfterMs wait between counting and answering.
  * @property failStatus answered in place of a receipt, after counting.
  * @property breakBeforeAnswer closes the connection after counting.
+ * @property cutAnswer closes the connection in the middle of an answer in chunks.
  * @property hang never counts and never answers.
  * @property times calls that have the faults; null for all.
  */
@@ -43,6 +48,7 @@
     val delayAfterMs: Long = 0,
     val failStatus: Int? = null,
     val breakBeforeAnswer: Boolean = false,
+    val cutAnswer: Boolean = false,
     val hang: Boolean = false,
     val times: Int? = null,
 )
@@ -125,7 +131,20 @@
     delay(faults.delayAfterMs)
     when {
         faults.breakBeforeAnswer -> call.closeConnection()
+        faults.cutAnswer -> cutAnswer(call, receipt)
         faults.failStatus != null -> call.respondError(faults.failStatus, "injected", "fault of the stand-in")
         else -> call.respondJson(receipt, HttpStatusCode.OK)
     }
 }
+
+private suspend fun cutAnswer(
+    call: ApplicationCall,
+    receipt: Receipt,
+) {
+    val text = standInJson.encodeToString(receipt)
+    call.respondBytesWriter(ContentType.Application.Json) {
+        writeStringUtf8(text.take(text.length / 2))
+        flush()
+        call.closeConnection()
+    }
+}
