--- a/decisions/src/main/kotlin/yuccaferry/decisions/placement/LengthAware.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/placement/LengthAware.kt
@@ -15,6 +15,9 @@
 private const val PREFIX_NEIGHBOURS = 4
 private const val DRAW_ATTEMPTS_PER_CHOICE = 8
 
+/** Targets looked at when the drawn ones have no room. */
+private const val SCAN_STEPS = 64
+
 /** Milliseconds of waiting that make a request one step more urgent. */
 private const val AGEING_STEP_MILLIS = 2_000L
 private const val PRIORITY_STEP_PER_CLASS = 10
@@ -57,7 +60,8 @@
             else -> search.draw(0, table.size)
         }
         if (search.lacksRoom()) search.draw(0, table.size)
-        if (search.lacksRoom()) search.scan()
+        if (search.lacksRoom()) search.scan(SCAN_STEPS)
+        if (search.isEmpty()) search.scan(table.size)
         return search.ids()
     }
 
@@ -84,9 +88,12 @@
         private var random = mix(turn xor stableHash(demand.request.value))
         private var roomy = false
 
-        /** Whether no target with room was found yet, or too few to choose from. */
+        /** Whether no target with room was found yet. */
         fun lacksRoom() = !roomy
 
+        /** Whether no eligible target was found yet. */
+        fun isEmpty() = shortlist.size == 0
+
         fun ids() = shortlist.ids()
 
         /** Offers [choices] eligible targets drawn from the positions [from] until [until]. */
@@ -107,10 +114,11 @@
             }
         }
 
-        /** Offers every eligible target; only needed when drawing found none with room. */
-        fun scan() {
+        /** Offers the eligible ones of [steps] targets from a random position on, until one has room. */
+        fun scan(steps: Int) {
             val first = random.mod(table.size)
-            for (step in 0 until table.size) {
+            for (step in 0 until minOf(steps, table.size)) {
+                if (roomy) return
                 val view = table.at((first + step) % table.size)
                 if (eligible(view)) offer(view, cost(view))
             }
--- a/decisions/src/test/kotlin/yuccaferry/decisions/placement/PlacementPolicyTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/placement/PlacementPolicyTest.kt
@@ -133,16 +133,29 @@
         }
 
         @Test
-        fun `reads no more views of a large table than of a small one`() {
-            for (size in listOf(64, 1_500)) {
-                val table = tableOf(*Array(size) { engine("e$it", requests = it % 7) })
-                var read = 0
-                policy.rank(prompt(3_000, prefix = "thread"), table, 5) {
-                    read++
-                    true
-                }
-                assertTrue(read <= 8, "read $read of $size views")
+        fun `reads few views of a large table`() {
+            assertTrue(viewsRead(requests = 5) <= 8)
+        }
+
+        @Test
+        fun `reads a bounded number of views when all targets are full`() {
+            assertTrue(viewsRead(requests = 32) <= 100)
+        }
+
+        private fun viewsRead(requests: Int): Int {
+            val table = tableOf(*Array(1_500) { engine("e$it", requests = requests) })
+            var read = 0
+            policy.rank(prompt(3_000, prefix = "thread"), table, 5) {
+                read++
+                true
             }
+            return read
+        }
+
+        @Test
+        fun `finds the only eligible target of a large table`() {
+            val table = tableOf(*Array(1_500) { engine("e$it") })
+            assertEquals(listOf(TargetId("e777")), policy.rank(prompt(1_000), table, 5) { it.id == TargetId("e777") })
         }
 
         @Test
