--- a/app/src/main/kotlin/yuccaferry/app/DaemonSettings.kt
+++ b/app/src/main/kotlin/yuccaferry/app/DaemonSettings.kt
@@ -3,6 +3,7 @@
 
 import kotlinx.serialization.Serializable
 import yuccaferry.decisions.placement.PlacementPolicy
+import yuccaferry.http.admin.OperatorToken
 import yuccaferry.model.Address
 import yuccaferry.model.Problem
 import yuccaferry.model.RegionName
@@ -36,7 +37,7 @@
     val admin: Listener,
     val peers: Listener,
     val platform: PlatformSettings,
-    val operators: List<OperatorSettings> = emptyList(),
+    val operators: List<OperatorToken> = emptyList(),
     val peerSeeds: List<PeerSeed> = emptyList(),
     val policy: String = "length-aware",
     val limits: LimitSettings = LimitSettings(),
@@ -58,28 +59,17 @@
 /**
  * The platform's services.
  *
- * @property keyValue base URLs of the key-value service, tried in order.
- * @property instances base URL of the instance list.
+ * @property keyValue addresses of the key-value service, tried in order.
+ * @property instances address of the instance list.
  * @property timeoutMillis time allowed for one call.
  */
 @Serializable
 data class PlatformSettings(
-    val keyValue: List<String>,
-    val instances: String,
+    val keyValue: List<Address>,
+    val instances: Address,
     val timeoutMillis: Long = 2_000,
 )
 
-/**
- * One operator.
- *
- * @property tokenSha256 lower-case hex SHA-256 of the operator's token.
- */
-@Serializable
-data class OperatorSettings(
-    val name: String,
-    val tokenSha256: String,
-)
-
 /** Another daemon, by its peer address. */
 @Serializable
 data class PeerSeed(
@@ -155,7 +145,7 @@
     for ((name, listener) in listeners) {
         check(listener.port in 0..65_535, "$.$name.port", "a port from 0 to 65535", listener.port)
     }
-    check(settings.platform.keyValue.isNotEmpty(), "$.platform.keyValue", "at least one URL", "none")
+    check(settings.platform.keyValue.isNotEmpty(), "$.platform.keyValue", "at least one address", "none")
     check(
         settings.platform.timeoutMillis > 0,
         "$.platform.timeoutMillis",
