--- a/load/src/main/kotlin/yuccaferry/load/Caller.kt
+++ b/load/src/main/kotlin/yuccaferry/load/Caller.kt
@@ -177,7 +177,7 @@
         message: String,
     ) = Outcome(request, Ending.Failed(code, message), sent, null, now())
 
-    private fun base(request: PlannedRequest) = targets[request.number % targets.size]
+    private fun base(request: PlannedRequest) = targets[request.number.mod(targets.size)]
 }
 
 /** The prompt is plain ASCII without quotes, so that it needs no escaping. */
--- a/load/src/main/kotlin/yuccaferry/load/RunCommand.kt
+++ b/load/src/main/kotlin/yuccaferry/load/RunCommand.kt
@@ -46,6 +46,8 @@
     private val standIns by option(ArgType.String, "stand-in", description = "NAME=ADDRESS of a stand-in that faults are set on").multiple()
     private val check by option(ArgType.Choice<AnswerCheck>(), "check-answers", description = "Compare texts with the engine stand-in's")
         .default(AnswerCheck.STANDIN)
+    private val readySeconds by option(ArgType.Int, "ready-within", description = "Wait this many seconds for the daemons to answer")
+        .default(0)
     private val json by option(ArgType.String, "json", description = "Write the figures to this file")
     private val html by option(ArgType.String, "html", description = "Write a page with plots to this file")
 
@@ -67,6 +69,10 @@
     ): RunResult {
         val operators = Operators(client, ControlAddresses(admin, tokenFile?.let { Path(it).readText().trim() }, standInAddresses()))
         operators.missing(experiment).forEach { fail("the experiment's events need $it") }
+        if (readySeconds > 0) {
+            val missing = awaitReady(experiment, seed, client, targets, readySeconds)
+            if (missing.isNotEmpty()) fail("not ready after $readySeconds s: ${missing.joinToString()}")
+        }
         val plan = plan(experiment, seed).filter { it !is PlannedPrompt || it.lengthClass !in without }
         val run = Run(experiment, seed, plan, client, targets, operators, expectedText(experiment.model)) { System.err.println(it) }
         val record = run.execute()
