Run plain calls that may not be repeated through the booking ledger

Before: the demonstration's booking, made twice under one key through two daemons, ran twice (its last row said WRONG). After: it ran once, and both callers got the same receipt.

--- a/daemon/src/main/kotlin/yuccaferry/daemon/request/PlainCallService.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/request/PlainCallService.kt
@@ -8,6 +8,11 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.map
+import yuccaferry.daemon.ledger.Booking
+import yuccaferry.daemon.ledger.BookingLedger
+import yuccaferry.daemon.ledger.DispatchOutcome
+import yuccaferry.daemon.ledger.KeyOrigin
 import yuccaferry.daemon.outcome.CallProgress
 import yuccaferry.daemon.outcome.executionOf
 import yuccaferry.daemon.outcome.joinExecutions
@@ -22,13 +27,16 @@
 import yuccaferry.daemon.port.TargetError
 import yuccaferry.daemon.port.Telemetry
 import yuccaferry.decisions.grants.UseOutcome
+import yuccaferry.decisions.ledger.Fingerprint
 import yuccaferry.decisions.placement.Demand
 import yuccaferry.model.Configuration
 import yuccaferry.model.Execution
+import yuccaferry.model.MonotonicTime
 import yuccaferry.model.Refusal
 import yuccaferry.model.RefusalCode
 import yuccaferry.model.TargetId
 import yuccaferry.model.TargetKind
+import java.util.concurrent.atomic.AtomicBoolean
 
 private const val MOST_ATTEMPTS = 3
 
@@ -37,11 +45,58 @@
     private val access: TargetAccess,
     private val services: ServiceClient,
     private val admission: Admission,
+    private val ledger: BookingLedger,
     private val configuration: () -> Configuration,
     private val clock: Clock,
     private val telemetry: Telemetry,
 ) : PlainCalls {
-    override suspend fun call(call: PlainCall): Result<ServiceAnswer, Refusal> = repeatable(call)
+    override suspend fun call(call: PlainCall): Result<ServiceAnswer, Refusal> = if (isIdempotent(call)) repeatable(call) else once(call)
+
+    private fun isIdempotent(call: PlainCall): Boolean =
+        configuration().file.services.any { it.name == call.service && call.method in it.idempotentMethods }
+
+    /** The target is granted before the claim, so that the claim is written immediately before the dispatch. */
+    private suspend fun once(call: PlainCall): Result<ServiceAnswer, Refusal> =
+        access.acquire(demandOf(call), emptySet(), call.deadline).fold(
+            success = { onceAt(call, it) },
+            failure = { ledger.refuse(bookingOf(call, dispatchBefore = clock.now()), refusalOf(it)).map { answer -> answer.answer } },
+        )
+
+    private suspend fun onceAt(
+        call: PlainCall,
+        grant: Grant,
+    ): Result<ServiceAnswer, Refusal> {
+        val booking = bookingOf(call, grant.useBy)
+        val dispatched = AtomicBoolean()
+        try {
+            return ledger
+                .run(booking) {
+                    dispatched.set(true)
+                    outcomeOf(dispatch(call, grant, booking.idempotencyKey))
+                }.map { it.answer }
+        } finally {
+            if (!dispatched.get()) access.release(grant, UseOutcome.UNUSED)
+        }
+    }
+
+    private fun bookingOf(
+        call: PlainCall,
+        dispatchBefore: MonotonicTime,
+    ) = Booking(
+        account = call.account.name,
+        service = call.service,
+        idempotencyKey = call.idempotencyKey ?: call.id.value,
+        keyOrigin = if (call.idempotencyKey == null) KeyOrigin.DAEMON else KeyOrigin.CALLER,
+        fingerprint = Fingerprint.of(call.method, call.path, call.body),
+        dispatchBefore = dispatchBefore,
+        deadline = call.deadline,
+    )
+
+    private fun outcomeOf(result: Result<ServiceAnswer, TargetError>): DispatchOutcome =
+        result.fold(
+            success = { DispatchOutcome.Answered(it) },
+            failure = { DispatchOutcome.Failed(it) },
+        )
 
     private suspend fun repeatable(call: PlainCall): Result<ServiceAnswer, Refusal> {
         val failed = mutableSetOf<TargetId>()
