--- a/integration-tests/src/test/kotlin/yuccaferry/integration/StandInSmokeTest.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/StandInSmokeTest.kt
@@ -21,11 +21,11 @@
 
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class StandInSmokeTest {
-    private val engine = EngineStandIn("engine", "--decode-tokens-per-second", "500")
-    private val service = ServiceStandIn("service")
+    private val engine = EngineStandIn("engine-1", "--decode-tokens-per-second", "500")
+    private val service = ServiceStandIn("desk-1")
     private val keyValue = KeyValueStandIn()
     private val instances = InstancesStandIn()
-    private val proxy = ProxyStandIn("proxy", engine.address)
+    private val proxy = ProxyStandIn("proxy-1", engine.address)
 
     @AfterAll
     fun stop() = listOf(engine, service, keyValue, instances, proxy).forEach { it.close() }
--- a/integration-tests/src/test/kotlin/yuccaferry/integration/StandIns.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/StandIns.kt
@@ -16,7 +16,7 @@
 
 private const val MAIN_CLASS = "yuccaferry.standin.MainKt"
 
-/** One stand-in; [kind] is its subcommand. */
+/** One stand-in; [kind] is its subcommand. The command line takes no [name] that is a subcommand. */
 internal open class StandIn(
     kind: String,
     name: String,
@@ -98,14 +98,14 @@
 
 /** The key-value service. */
 internal class KeyValueStandIn(
-    name: String = "key-value",
+    name: String = "store",
 ) : StandIn("key-value", name) {
     fun stats(): KeyValueRecords = records()
 }
 
 /** The list of target instances. */
 internal class InstancesStandIn(
-    name: String = "instances",
+    name: String = "targets",
     vararg options: String,
 ) : StandIn("instances", name, *options) {
     /** Replaces the true list. */
