--- a/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
@@ -1,7 +1,10 @@
+@file:OptIn(ExperimentalCoroutinesApi::class)
+
 package yuccaferry.daemon.configuration
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
@@ -114,6 +117,17 @@
                 val error = keeper("one").apply(file(weight = 1), ConfigurationVersion(0), author("x")).getError()
                 assertIs<ChangeError.Uncertain>(error)
             }
+
+        @Test
+        fun `stays uncertain when it is not there yet and further tries are refused`() =
+            runTest {
+                store.lose = {
+                    store.refusesWrites = true
+                    LostWrite.APPLIED_LATE
+                }
+                val error = keeper("one").apply(file(weight = 1), ConfigurationVersion(0), author("x")).getError()
+                assertIs<ChangeError.Uncertain>(error)
+            }
     }
 
     @Nested
