Run calls that may not be repeated through the booking ledger

Cause: the service of plain calls repeated every call on another target, whatever its method; a deposit whose connection broke would have run twice.

Calls whose method the service's entry does not list as idempotent now take a grant, then the ledger's claim, then one dispatch. A graceful leave waits for the ledger's pending outcomes.

The wiring itself has no unit test; the tests with processes cover it next.

--- a/app/src/main/kotlin/yuccaferry/app/Daemon.kt
+++ b/app/src/main/kotlin/yuccaferry/app/Daemon.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.daemon.admin.DaemonPlace
 import yuccaferry.daemon.admin.DaemonView
 import yuccaferry.daemon.configuration.ConfigurationChanges
@@ -25,6 +26,7 @@
 import yuccaferry.daemon.grants.SeatTargetAccess
 import yuccaferry.daemon.grants.SummarySharing
 import yuccaferry.daemon.grants.TargetObserver
+import yuccaferry.daemon.ledger.BookingLedger
 import yuccaferry.daemon.port.AskAnswer
 import yuccaferry.daemon.port.AskRequest
 import yuccaferry.daemon.port.Clock
@@ -149,8 +151,9 @@
                     pieceStallMillis = settings.limits.pieceStallMillis,
                 ),
         )
+    private val ledger = BookingLedger(id, store, clock, telemetry, scope)
     private val plainCalls =
-        PlainCallService(access, HttpServiceClient(targetClient), admission, configuration, clock, telemetry)
+        PlainCallService(access, HttpServiceClient(targetClient), admission, configuration, clock, telemetry, ledger)
     private val callersApi =
         CallersApi(admission, generations, plainCalls, configuration, clock, settings.limits.bodyBytes)
 
@@ -228,6 +231,7 @@
         delay(settings.limits.drainLagMillis)
         val until = clock.now() + settings.limits.drainMillis
         while (admission.inProgress > 0 && clock.now() < until) delay(TICK_MILLIS)
+        withTimeoutOrNull(until - clock.now()) { ledger.drain() }
         control?.leave(SEATS_LEAVE_MILLIS)
         stop()
     }
--- a/daemon/src/main/kotlin/yuccaferry/daemon/ledger/BookingLedger.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/ledger/BookingLedger.kt
@@ -47,7 +47,7 @@
 import kotlin.random.asKotlinRandom
 
 /** Gauge of bookings that are claimed, running or waiting for their outcome to be written. */
-const val LEDGER_PENDING_METRIC = "yuccaferry_ledger_pending"
+const val LEDGER_PENDING_METRIC = "yuccaferry.ledger.pending"
 
 private const val RETRY_AFTER_SECONDS = 2
 
--- a/daemon/src/main/kotlin/yuccaferry/daemon/ledger/LedgerWriter.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/ledger/LedgerWriter.kt
@@ -29,10 +29,10 @@
 import kotlin.random.Random
 
 /** Counter of writes sent to the key-value service, labelled by `step`. */
-const val LEDGER_WRITES_METRIC = "yuccaferry_ledger_writes"
+const val LEDGER_WRITES_METRIC = "yuccaferry.ledger.writes"
 
 /** Counter of writes whose answer was lost or that the service refused, labelled by `step`. */
-const val LEDGER_WRITE_FAILURES_METRIC = "yuccaferry_ledger_write_failures"
+const val LEDGER_WRITE_FAILURES_METRIC = "yuccaferry.ledger.write.failures"
 
 /** How a claim ended. */
 internal sealed interface ClaimResult {
--- a/daemon/src/main/kotlin/yuccaferry/daemon/request/PlainCallService.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/request/PlainCallService.kt
@@ -8,6 +8,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import yuccaferry.daemon.ledger.BookingLedger
 import yuccaferry.daemon.outcome.CallProgress
 import yuccaferry.daemon.outcome.executionOf
 import yuccaferry.daemon.outcome.joinExecutions
@@ -40,8 +41,18 @@
     private val configuration: () -> Configuration,
     private val clock: Clock,
     private val telemetry: Telemetry,
+    ledger: BookingLedger,
 ) : PlainCalls {
-    override suspend fun call(call: PlainCall): Result<ServiceAnswer, Refusal> = repeatable(call)
+    private val booked = BookedCalls(access, ledger, ::dispatch)
+
+    override suspend fun call(call: PlainCall): Result<ServiceAnswer, Refusal> =
+        if (mayRepeat(call)) repeatable(call) else booked.call(call)
+
+    private fun mayRepeat(call: PlainCall): Boolean =
+        configuration()
+            .file.services
+            .firstOrNull { it.name == call.service }
+            ?.let { call.method in it.idempotentMethods } ?: false
 
     private suspend fun repeatable(call: PlainCall): Result<ServiceAnswer, Refusal> {
         val failed = mutableSetOf<TargetId>()
