--- a/app/src/main/kotlin/yuccaferry/app/Daemon.kt
+++ b/app/src/main/kotlin/yuccaferry/app/Daemon.kt
@@ -153,7 +153,7 @@
         )
     private val ledger = BookingLedger(id, store, clock, telemetry, scope)
     private val plainCalls =
-        PlainCallService(access, HttpServiceClient(targetClient), admission, ledger, configuration, clock, telemetry)
+        PlainCallService(access, HttpServiceClient(targetClient), admission, configuration, clock, telemetry, ledger)
     private val callersApi =
         CallersApi(admission, generations, plainCalls, configuration, clock, settings.limits.bodyBytes)
 
@@ -231,7 +231,7 @@
         delay(settings.limits.drainLagMillis)
         val until = clock.now() + settings.limits.drainMillis
         while (admission.inProgress > 0 && clock.now() < until) delay(TICK_MILLIS)
-        withTimeoutOrNull(maxOf(0, until - clock.now())) { ledger.drain() }
+        withTimeoutOrNull(until - clock.now()) { ledger.drain() }
         control?.leave(SEATS_LEAVE_MILLIS)
         stop()
     }
