--- a/decisions/src/test/kotlin/yuccaferry/decisions/configuration/MajorityTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/configuration/MajorityTest.kt
@@ -6,6 +6,8 @@
 import yuccaferry.model.Address
 import yuccaferry.model.RegionName
 import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 class MajorityTest {
@@ -29,6 +31,11 @@
         }
     }
 
+    @Test
+    fun `two parts of a region can't both be a majority`() {
+        assertEquals(listOf(1, 2, 2, 3, 3), (1..5).map { majorityOf(it) })
+    }
+
     /** Members in random order, as few as make a version accepted. */
     private fun smallestHolders(
         members: List<Member>,
--- /dev/null
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/configuration/ConfigurationTest.kt
@@ -0,0 +1,196 @@
+package yuccaferry.integration.configuration
+
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.TestInstance
+import yuccaferry.integration.ProcessUnderTest
+import yuccaferry.integration.Signal
+import yuccaferry.integration.eventually
+import yuccaferry.model.ZoneName
+import yuccaferry.model.admin.ChangeState
+import java.io.File
+import java.util.concurrent.CompletableFuture
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.measureTime
+
+private const val DAEMONS = 3
+private const val RACES = 10
+private val IN_FORCE_BOUND = 5.seconds
+
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class ConfigurationTest {
+    private val fleet = ConfigurationFleet(DAEMONS)
+    private val first get() = fleet.daemons[0]
+    private val second get() = fleet.daemons[1]
+    private val third get() = fleet.daemons[2]
+
+    @AfterTest
+    fun heal() {
+        fleet.keyValue.heal()
+        fleet.daemons.forEach { it.keyValueProxy.heal() }
+        eventually("all daemons hold one version", 20.seconds) {
+            fleet.daemons
+                .map { it.version() }
+                .distinct()
+                .size == 1
+        }
+    }
+
+    @AfterAll
+    fun close() = fleet.close()
+
+    private fun awaitVersion(
+        version: Long,
+        daemons: List<ConfiguredDaemon> = fleet.daemons,
+    ) = eventually("version $version is in force everywhere", IN_FORCE_BOUND) { daemons.all { it.version() >= version } }
+
+    @Nested
+    inner class `a zone that is taken out` {
+        @Test
+        fun `is out on every daemon within seconds, and no file brings it back`() {
+            val zone = ZoneName("b")
+            val answer = second.post("/v1/zones/b/out").change()
+            val time = measureTime { eventually("b is out", IN_FORCE_BOUND) { fleet.daemons.all { zone in it.configuration().zonesOut } } }
+            println("zone out in force on $DAEMONS daemons after $time, state ${answer.state}")
+            assertEquals(ChangeState.ACCEPTED, answer.state)
+            val applied = first.apply(weight = 7, base = answer.version.value).change()
+            awaitVersion(applied.version.value)
+            assertTrue(fleet.daemons.all { zone in it.configuration().zonesOut })
+            awaitVersion(
+                third
+                    .post("/v1/zones/b/in")
+                    .change()
+                    .version.value,
+            )
+            assertTrue(fleet.daemons.none { zone in it.configuration().zonesOut })
+        }
+
+        @Test
+        fun `is out on a daemon that is cut off from the key-value service`() {
+            third.keyValueProxy.faults("""{"cut":true}""")
+            val version = first.post("/v1/zones/b/out").change().version
+            awaitVersion(version.value)
+            assertTrue(ZoneName("b") in third.configuration().zonesOut)
+            first.post("/v1/zones/b/in").change()
+        }
+    }
+
+    @Nested
+    inner class `two operators at once` {
+        @Test
+        fun `one wins and the other is told what differs`() {
+            repeat(RACES) { round ->
+                val base = first.version()
+                eventually("both daemons hold $base", IN_FORCE_BOUND) { second.version() >= base }
+                val weights = listOf(10 + round, 100 + round)
+                val answers =
+                    listOf(first, second)
+                        .zip(weights) { daemon, weight -> CompletableFuture.supplyAsync { daemon.apply(weight, base) } }
+                        .map { it.join() }
+                assertEquals(listOf(200, 409), answers.map { it.statusCode() }.sorted(), answers.joinToString { it.body() })
+                val loser = answers.indexOfFirst { it.statusCode() == 409 }
+                val differs = """{"path":"$.accounts[0].weight","from":${weights[1 - loser]},"to":${weights[loser]}}"""
+                assertContains(answers[loser].body(), differs)
+                assertEquals(
+                    base + 1,
+                    answers[1 - loser]
+                        .change()
+                        .version.value,
+                )
+                awaitVersion(base + 1)
+            }
+        }
+    }
+
+    @Nested
+    inner class `a lost answer of the key-value service` {
+        @Test
+        fun `is resolved by reading back`() {
+            val base = first.version()
+            first.keyValueProxy.faults("""{"dropAnswer":true}""")
+            val applying = CompletableFuture.supplyAsync { first.apply(weight = 55, base = base) }
+            eventually("the write has taken effect", IN_FORCE_BOUND) { second.version() == base + 1 }
+            first.keyValueProxy.heal()
+            assertEquals(
+                base + 1,
+                applying
+                    .join()
+                    .change()
+                    .version.value,
+            )
+            assertEquals(base + 1, second.version())
+        }
+    }
+
+    @Nested
+    inner class `a daemon that starts while the key-value service is away` {
+        @Test
+        fun `learns the newest version from others before it is ready`() {
+            val version = first.apply(weight = 77, base = first.version()).change().version
+            awaitVersion(version.value)
+            fleet.keyValue.faults("""{"outage":true}""")
+            val late = fleet.start()
+            eventually("the late daemon is ready", 30.seconds) { late.isReady() }
+            assertEquals(version.value, late.version())
+        }
+
+        @Test
+        fun `is not ready when it reaches nobody`() {
+            fleet.keyValue.faults("""{"outage":true}""")
+            val alone = fleet.start(seeds = emptyList())
+            assertFalse(alone.isReady())
+            assertContains(alone.get("/ready").body(), "the newest configuration is not known yet")
+        }
+    }
+
+    @Nested
+    inner class `a daemon that wakes from a pause` {
+        @Test
+        fun `never goes down a version and soon has the newest`() {
+            val paused = third
+            val before = paused.version()
+            paused.signal(Signal.STOP)
+            val version =
+                first
+                    .apply(weight = 88, base = first.version())
+                    .change()
+                    .version.value
+            paused.signal(Signal.CONT)
+            val seen = mutableListOf<Long>()
+            eventually("the woken daemon has version $version", IN_FORCE_BOUND) {
+                seen += paused.version()
+                seen.last() == version
+            }
+            assertEquals(seen.sorted(), seen)
+            assertTrue(seen.first() >= before)
+        }
+    }
+
+    @Nested
+    inner class `the command line` {
+        @Test
+        fun `applies a file and waits until every daemon has it`() {
+            val token = File.createTempFile("token", "", File("target")).apply { writeText(TOKEN) }
+            val file = File.createTempFile("fleet", ".json", File("target")).apply { writeText(file(weight = 99)) }
+            val arguments = listOf("apply", file.path, "--wait", "--admin", first.admin, "--token-file", token.path)
+            ProcessUnderTest.start("ctl", "yuccaferry.ctl.MainKt", arguments).use { assertEquals(0, it.awaitEnd()) }
+            assertEquals(
+                listOf(99),
+                fleet.daemons
+                    .map {
+                        it
+                            .configuration()
+                            .file.accounts
+                            .single()
+                            .weight
+                    }.distinct(),
+            )
+        }
+    }
+}
