--- a/app/src/main/kotlin/yuccaferry/app/Daemon.kt
+++ b/app/src/main/kotlin/yuccaferry/app/Daemon.kt
@@ -165,7 +165,6 @@
             seats = { seatTable },
             directory = directory,
             board = board,
-            decider = decider,
             costs = { emptyList() },
             startLeave = onDrain,
             clock = clock,
--- a/daemon/src/main/kotlin/yuccaferry/daemon/admin/DaemonView.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/admin/DaemonView.kt
@@ -3,7 +3,6 @@
 
 import yuccaferry.daemon.configuration.ConfigurationKeeper
 import yuccaferry.daemon.control.SeatTable
-import yuccaferry.daemon.grants.GrantDecider
 import yuccaferry.daemon.grants.LoadBoard
 import yuccaferry.daemon.port.Clock
 import yuccaferry.daemon.port.Field
@@ -41,7 +40,6 @@
     private val seats: () -> SeatTable,
     private val directory: TargetDirectory,
     private val board: LoadBoard,
-    private val decider: GrantDecider,
     private val costs: () -> List<ControlCost>,
     private val startLeave: () -> Unit,
     private val clock: Clock,
