--- /dev/null
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/request/AccessRefusals.kt
@@ -0,0 +1,32 @@
+// Turns refusals of the right to use targets into what callers see.
+package yuccaferry.daemon.request
+
+import yuccaferry.daemon.port.AccessRefusal
+import yuccaferry.model.Execution
+import yuccaferry.model.Refusal
+import yuccaferry.model.RefusalCode
+
+/** The refusal that a caller sees when no target was granted. */
+internal fun refusalOf(refusal: AccessRefusal): Refusal =
+    when (refusal) {
+        AccessRefusal.NoTarget -> {
+            Refusal(RefusalCode.NO_CAPACITY, "no target in service serves this account and model", Execution.NOT_RUN, retryAfterSeconds = 5)
+        }
+
+        AccessRefusal.Full -> {
+            Refusal(RefusalCode.NO_CAPACITY, "no target had room before the deadline", Execution.NOT_RUN, retryAfterSeconds = 1)
+        }
+
+        is AccessRefusal.TooLarge -> {
+            Refusal(
+                RefusalCode.NO_CAPACITY,
+                "the prompt and its answer need more memory than any target has (${refusal.kvTokens} tokens)",
+                Execution.NOT_RUN,
+                repeatable = false,
+            )
+        }
+
+        is AccessRefusal.NotConfirmed -> {
+            Refusal(RefusalCode.NOT_READY, refusal.reason, Execution.NOT_RUN, retryAfterSeconds = 1)
+        }
+    }
