--- a/daemon/src/test/kotlin/yuccaferry/daemon/control/SeatControlTest.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/control/SeatControlTest.kt
@@ -151,6 +151,7 @@
             a.table.learn(SeatView(seats[0], DaemonId("z"), Address("z"), Epoch(5)))
             assertFalse(a.table.isCurrent(seats[0], Epoch(4)))
             assertTrue(a.table.isCurrent(seats[0], Epoch(5)))
+            a.table.learn(SeatView(seats[0], DaemonId("y"), Address("y"), Epoch(3)))
             assertEquals(Address("z"), a.table.holderOf(seats[0])?.peer)
         }
 
--- a/decisions/src/main/kotlin/yuccaferry/decisions/seats/ControlReader.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/seats/ControlReader.kt
@@ -23,6 +23,9 @@
             if (changes.succeeded && daemons.start(now)) StoreCall.ReadDaemons(region) else null,
         )
 
+    /** Reads the region's daemons as soon as the least interval allows, as a peer has seen a lease gone. */
+    fun hurry() = daemons.within(settings.fullReadMillis)
+
     /** Notes an answer. */
     fun answered(
         event: SeatEvent.StoreAnswered,
@@ -35,12 +38,14 @@
         } else {
             contents?.let { view.applyDaemons(it, event.sentAt, now) }
             daemons.end(now, contents != null, settings.fullReadIntervalMillis(view.regionSize))
+            if (view.absenceUnsure(settings.absenceGraceMillis)) daemons.within(settings.absenceGraceMillis)
         }
     }
 
     private class Schedule {
         private var inFlight = false
         private var nextAt: MonotonicTime? = null
+        private var endedAt: MonotonicTime? = null
         var succeeded = false
             private set
 
@@ -50,12 +55,19 @@
             return true
         }
 
+        /** Lets the next read start [intervalMillis] after the last one ended, unless it starts sooner anyway. */
+        fun within(intervalMillis: Long) {
+            val early = endedAt?.plus(intervalMillis) ?: return
+            nextAt = nextAt?.let { minOf(it, early) }
+        }
+
         fun end(
             now: MonotonicTime,
             success: Boolean,
             intervalMillis: Long,
         ) {
             inFlight = false
+            endedAt = now
             nextAt = now + if (success) intervalMillis else RETRY_MILLIS
             succeeded = succeeded || success
         }
--- a/decisions/src/main/kotlin/yuccaferry/decisions/seats/ControlView.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/seats/ControlView.kt
@@ -101,6 +101,9 @@
     /** For how long [daemon] has been seen without a record by full reads; null while it has one or none was made. */
     fun absentMillis(daemon: DaemonId): Long? = absences[daemon]?.let { it.lastSentAt - it.firstAnsweredAt }
 
+    /** Whether some holder or roster member is absent, but for less than [graceMillis] so far. */
+    fun absenceUnsure(graceMillis: Long): Boolean = absences.values.any { it.lastSentAt - it.firstAnsweredAt < graceMillis }
+
     /** Whether a full read sent no longer than [withinMillis] ago shows that the lease of [holder] is gone. */
     fun leaseGone(
         holder: Holder,
--- a/decisions/src/main/kotlin/yuccaferry/decisions/seats/SeatNode.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/seats/SeatNode.kt
@@ -87,6 +87,7 @@
                 is PromiseRequest.Against -> view.leaseGone(request.holder, fresh, now)
                 is PromiseRequest.RosterUpTo -> view.readWithin(fresh, now)
             }
+        if (!sees) reader.hurry()
         return book.promise(request, sees, now)
     }
 
@@ -230,10 +231,7 @@
         return (view.absentMillis(member.id) ?: 0) < settings.rosterGraceMillis
     }
 
-    private fun attestedUntil(): MonotonicTime? {
-        val until = continuation?.takeIf { it.holder == lease.holder }?.attestedUntil ?: return null
-        return minOf(until, attestsUntil())
-    }
+    private fun attestedUntil(): MonotonicTime? = continuation?.takeIf { it.holder == lease.holder }?.attestedUntil
 
     private fun attestsUntil(): MonotonicTime =
         if (left) MonotonicTime(Long.MIN_VALUE) else lease.validUntil + settings.continuationLimitMillis
--- a/decisions/src/main/kotlin/yuccaferry/decisions/seats/SeatSettings.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/seats/SeatSettings.kt
@@ -43,7 +43,7 @@
 
     private companion object {
         const val MILLIS_PER_SECOND = 1_000L
-        const val FULL_READ_MILLIS_PER_DAEMON = 120L
+        const val FULL_READ_MILLIS_PER_DAEMON = 240L
     }
 }
 
--- a/decisions/src/test/kotlin/yuccaferry/decisions/seats/SeatCasesTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/seats/SeatCasesTest.kt
@@ -116,6 +116,17 @@
             println("longest gap when a third ends at once: ${fleet.checker.longestGapMillis} ms")
         }
 
+        @Test
+        fun `one of a large region and its seats are decided within 60 seconds although full reads are rare`() {
+            repeat(60) { fleet.start(zone = it % 3) }
+            fleet.run(60_000)
+            fleet.checker.longestGapMillis = 0
+            fleet.deciders(seatIds(settings).first()).single().alive = false
+            fleet.run(fleet.now + 60_000)
+            assertTrue(fleet.settled())
+            println("longest gap when one of 60 ends: ${fleet.checker.longestGapMillis} ms")
+        }
+
         @Test
         fun `nearly all one after the other and the roster moves on to those that replace them`() {
             settle(5)
