Ask for attestations sooner, and leave the roster within the time of a graceful leave

Questions started 2.5 s after the last answer of the store, so that with a poll of the configuration a second before, the proof of being current could be nearly 4 s old, the limit in force for deciding. They start one second after the poll is overdue now (2 s at today's size). A leaving roster member waited 10 s to be replaced, as long as the whole leave may take; now 5 s.

--- a/decisions/src/main/kotlin/yuccaferry/decisions/seats/SeatNode.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/seats/SeatNode.kt
@@ -168,7 +168,8 @@
 
     private fun askAttestations(now: MonotonicTime): List<SeatEffect> {
         val asker = continuation ?: return emptyList()
-        val silent = lastAnswerAt.let { it == null || now - it > settings.silenceMillis }
+        val patience = settings.pollIntervalMillis(view.fleetSize) + settings.silenceMillis
+        val silent = lastAnswerAt.let { it == null || now - it > patience }
         if (!silent && lease.valid(now)) return emptyList()
         if (!asker.roundDue(now)) return emptyList()
         return asker.startRound(configuration, now)
@@ -242,7 +243,7 @@
 
     private companion object {
         const val FRESH_READS = 2
-        const val ROSTER_EXIT_MILLIS = 10_000L
+        const val ROSTER_EXIT_MILLIS = 5_000L
         const val MAINTAINER_KEY = "maintainer"
     }
 }
--- a/decisions/src/main/kotlin/yuccaferry/decisions/seats/SeatSettings.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/seats/SeatSettings.kt
@@ -17,7 +17,7 @@
  * @property pollMillis least time between two reads of changes by one daemon.
  * @property fullReadMillis least time between two full reads of a region's daemons by one daemon.
  * @property storeReadsPerSecond reads of changes by all daemons together, which lengthens the poll of a large fleet.
- * @property silenceMillis attestations are asked for when the store has not answered for this long.
+ * @property silenceMillis attestations are asked for when an answer from the store is later than the poll by this.
  */
 data class SeatSettings(
     val seatsPerRegion: Int = 64,
@@ -33,7 +33,7 @@
     val pollMillis: Long = 1_000,
     val fullReadMillis: Long = 3_000,
     val storeReadsPerSecond: Int = 200,
-    val silenceMillis: Long = 2_500,
+    val silenceMillis: Long = 1_000,
 ) {
     /** Time between two reads of changes by one daemon of a fleet of [daemons]. */
     fun pollIntervalMillis(daemons: Int): Long = maxOf(pollMillis, daemons * MILLIS_PER_SECOND / storeReadsPerSecond)
