--- a/adapter-http/src/main/kotlin/yuccaferry/http/callers/CallersApi.kt
+++ b/adapter-http/src/main/kotlin/yuccaferry/http/callers/CallersApi.kt
@@ -122,7 +122,7 @@
         return admission.authenticate(key).fold(
             success = { it },
             failure = {
-                call.refuse(id, it)
+                call.refuseUnchecked(id, it)
                 null
             },
         )
@@ -143,7 +143,7 @@
                     admission.leave(account.name)
                 }
             },
-            failure = { call.refuse(id, it) },
+            failure = { call.refuseUnchecked(id, it) },
         )
     }
 
--- a/adapter-http/src/main/kotlin/yuccaferry/http/callers/PlainCallExchange.kt
+++ b/adapter-http/src/main/kotlin/yuccaferry/http/callers/PlainCallExchange.kt
@@ -23,7 +23,6 @@
 import yuccaferry.model.RefusalCode
 import yuccaferry.model.ServiceName
 
-private const val IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 private const val MOST_KEY_CHARACTERS = 255
 
 internal class PlainCallExchange(
@@ -40,7 +39,7 @@
                 .file.services
                 .none { it.name == service }
         ) {
-            call.refuse(id, unknown(RefusalCode.UNKNOWN_SERVICE, "service", service))
+            call.refuseUnchecked(id, unknown(RefusalCode.UNKNOWN_SERVICE, "service", service))
             return
         }
         val problem = headerProblem()
--- a/adapter-http/src/main/kotlin/yuccaferry/http/callers/RefusalAnswer.kt
+++ b/adapter-http/src/main/kotlin/yuccaferry/http/callers/RefusalAnswer.kt
@@ -5,6 +5,7 @@
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.header
 import io.ktor.server.response.header
 import io.ktor.server.response.respondText
 import kotlinx.serialization.SerialName
@@ -16,6 +17,12 @@
 import yuccaferry.model.RefusalCode
 import yuccaferry.model.RequestId
 
+internal const val IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+
+/** Refusals that another daemon, or this one at another time, would not have made of the same request. */
+private val DEPENDS_ON_MOMENT =
+    setOf(RefusalCode.NOT_READY, RefusalCode.ACCOUNT_LIMIT, RefusalCode.NOT_PERMITTED, RefusalCode.UNKNOWN_SERVICE)
+
 @Serializable
 internal data class RefusalEnvelope(
     val error: RefusalBody,
@@ -48,6 +55,18 @@
     respondText(refusalJson(id, refusal), ContentType.Application.Json, status)
 }
 
+/**
+ * Answers [this] call with [refusal], which was decided without a look at the booking ledger. When the caller
+ * sent an idempotency key, an earlier request with that key may have run, so "not run" would be a guess.
+ */
+internal suspend fun ApplicationCall.refuseUnchecked(
+    id: RequestId,
+    refusal: Refusal,
+) {
+    val keyed = request.header(IDEMPOTENCY_KEY_HEADER) != null && refusal.code in DEPENDS_ON_MOMENT
+    refuse(id, if (keyed) refusal.copy(execution = Execution.UNKNOWN) else refusal)
+}
+
 /** The refusal of a body that could not be read. */
 internal fun invalidRequest(problem: Problem) =
     Refusal(RefusalCode.INVALID_REQUEST, problem.toString(), Execution.NOT_RUN, repeatable = false)
--- a/daemon/src/main/kotlin/yuccaferry/daemon/ledger/ArrivalResolver.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/ledger/ArrivalResolver.kt
@@ -77,7 +77,7 @@
     private fun waitEnd(
         booking: Booking,
         wait: ArrivalDecision.Wait,
-    ): MonotonicTime = minOf(booking.deadline, clock.now() + wait.atMostMillis + OUTCOME_GRACE_MILLIS)
+    ): MonotonicTime = minOf(booking.decideBy(clock.now()), clock.now() + wait.atMostMillis + OUTCOME_GRACE_MILLIS)
 
     /** Waits until [key] has a record that is not merely claimed; null when that does not happen before [until]. */
     private suspend fun awaitEnd(
--- a/daemon/src/main/kotlin/yuccaferry/daemon/ledger/Booking.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/ledger/Booking.kt
@@ -33,6 +33,17 @@
     val deadline: MonotonicTime,
 )
 
+/** Share of the time left, and its bound in milliseconds, that is kept for telling the caller. */
+private const val ANSWER_SHARE = 10
+private const val MOST_ANSWER_MILLIS = 300L
+
+/** Time by which a claim or a wait that starts at [now] must end, so that the caller is told its result in time. */
+internal fun Booking.decideBy(now: MonotonicTime): MonotonicTime {
+    val left = deadline - now
+    val reserve = (left / ANSWER_SHARE).coerceIn(0, MOST_ANSWER_MILLIS)
+    return now + (left - reserve)
+}
+
 /** How a booking's one dispatch ended. */
 sealed interface DispatchOutcome {
     /** The service answered, with any status. */
--- a/daemon/src/main/kotlin/yuccaferry/daemon/ledger/BookingLedger.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/ledger/BookingLedger.kt
@@ -9,7 +9,10 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.getOr
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapError
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -25,6 +28,7 @@
 import yuccaferry.daemon.outcome.refusalOf
 import yuccaferry.daemon.port.Clock
 import yuccaferry.daemon.port.KeyValueStore
+import yuccaferry.daemon.port.StoreError
 import yuccaferry.daemon.port.StoredValue
 import yuccaferry.daemon.port.TargetError
 import yuccaferry.daemon.port.Telemetry
@@ -103,14 +107,21 @@
         refusal: Refusal,
     ): Result<BookingAnswer, Refusal> {
         if (booking.keyOrigin == KeyOrigin.DAEMON) return Err(refusal)
+        return lookUp(booking)
+            .mapError { refusal.copy(message = "${refusal.message}; the ledger can't be read", execution = Execution.UNKNOWN) }
+            .andThen { it?.result ?: Err(refusal) }
+    }
+
+    /** Returns the answer to [booking] if an earlier request with its key settles it; null when it may have to run. */
+    suspend fun known(booking: Booking): Result<BookingAnswer, Refusal>? {
+        if (booking.keyOrigin == KeyOrigin.DAEMON) return null
+        return lookUp(booking).getOr(null)?.result
+    }
+
+    private suspend fun lookUp(booking: Booking): Result<Resolution.Final?, StoreError> {
         val key = keyOf(booking)
-        val found =
-            resolver.read(key, booking.deadline).getOrElse {
-                return Err(refusal.copy(message = "${refusal.message}; the ledger can't be read", execution = Execution.UNKNOWN))
-            } ?: return Err(refusal)
-        return when (val resolution = resolver.resolve(booking, key, found)) {
-            is Resolution.Final -> resolution.result
-            is Resolution.Free -> Err(refusal)
+        return resolver.read(key, booking.deadline).map { found ->
+            found?.let { resolver.resolve(booking, key, it) } as? Resolution.Final
         }
     }
 
@@ -139,7 +150,7 @@
         answer: CompletableDeferred<Step>,
     ) {
         val start = clock.now()
-        val dispatchBefore = minOf(start + settings.dispatchWindowMillis, run.booking.dispatchBefore, run.booking.deadline)
+        val dispatchBefore = minOf(start + settings.dispatchWindowMillis, run.booking.dispatchBefore, run.booking.decideBy(start))
         val record = BookingRecord.claimed(run.booking.fingerprint, claim(run.booking, start, dispatchBefore))
         when (val claim = writer.claim(run.key, run.expectedRevision, record, dispatchBefore)) {
             is ClaimResult.Taken -> {
--- a/daemon/src/main/kotlin/yuccaferry/daemon/request/BookedCalls.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/request/BookedCalls.kt
@@ -13,6 +13,7 @@
 import yuccaferry.daemon.ledger.BookingLedger
 import yuccaferry.daemon.ledger.DispatchOutcome
 import yuccaferry.daemon.ledger.KeyOrigin
+import yuccaferry.daemon.port.Clock
 import yuccaferry.daemon.port.Grant
 import yuccaferry.daemon.port.Header
 import yuccaferry.daemon.port.ServiceAnswer
@@ -26,21 +27,34 @@
 import java.util.UUID
 import java.util.concurrent.atomic.AtomicBoolean
 
+/** Wait for a grant after which the ledger is asked whether the call needs one at all. */
+private const val PATIENCE_MILLIS = 300L
+
+/** Share of the time left, and its bound, that is kept for a last look at the ledger when there is no grant. */
+private const val LEDGER_SHARE = 5
+private const val MOST_LEDGER_MILLIS = 1_000L
+
 private const val REPLAYED_HEADER = "Idempotency-Replayed"
 
 /** Runs calls that may not be repeated; [dispatch] sends one call under a grant, which it gives back. */
 internal class BookedCalls(
     private val access: TargetAccess,
     private val ledger: BookingLedger,
+    private val clock: Clock,
     private val dispatch: suspend (call: PlainCall, grant: Grant, idempotencyKey: String) -> Result<ServiceAnswer, TargetError>,
 ) {
     suspend fun call(call: PlainCall): Result<ServiceAnswer, Refusal> {
         val booking = bookingOf(call)
         val demand = Demand(request = call.id, account = call.account.name, kind = TargetKind.SERVICE, serves = call.service)
+        val now = clock.now()
+        val reserve = ((call.deadline - now) / LEDGER_SHARE).coerceIn(0, MOST_LEDGER_MILLIS)
         val grant =
-            access
-                .acquire(demand, emptySet(), call.deadline)
-                .getOrElse { return answerOf(ledger.refuse(booking, refusalOf(it))) }
+            access.acquire(demand, emptySet(), minOf(call.deadline, now + PATIENCE_MILLIS)).getOrElse {
+                ledger.known(booking)?.let { return answerOf(it) }
+                access
+                    .acquire(demand, emptySet(), call.deadline + (-reserve))
+                    .getOrElse { return answerOf(ledger.refuse(booking, refusalOf(it))) }
+            }
         return answerOf(runOn(grant, call, booking))
     }
 
--- a/daemon/src/main/kotlin/yuccaferry/daemon/request/PlainCallService.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/request/PlainCallService.kt
@@ -43,7 +43,7 @@
     private val telemetry: Telemetry,
     ledger: BookingLedger,
 ) : PlainCalls {
-    private val booked = BookedCalls(access, ledger, ::dispatch)
+    private val booked = BookedCalls(access, ledger, clock, ::dispatch)
 
     override suspend fun call(call: PlainCall): Result<ServiceAnswer, Refusal> =
         if (mayRepeat(call)) repeatable(call) else booked.call(call)
--- /dev/null
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/bookings/BookingFleet.kt
@@ -0,0 +1,286 @@
+/*
+ * Daemons before one plain service that counts its runs by key. Each daemon reaches the key-value service through a
+ * proxy of its own, and the service is reached through a proxy, so that every step of a booking can be held or cut.
+ */
+package yuccaferry.integration.bookings
+
+import com.github.michaelbull.result.unwrap
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import yuccaferry.app.ControlSettings
+import yuccaferry.app.DaemonSettings
+import yuccaferry.app.LimitSettings
+import yuccaferry.app.Listener
+import yuccaferry.app.PlatformSettings
+import yuccaferry.decisions.ledger.LedgerKey
+import yuccaferry.http.admin.OperatorToken
+import yuccaferry.integration.HttpCalls
+import yuccaferry.integration.InstancesStandIn
+import yuccaferry.integration.KeyValueStandIn
+import yuccaferry.integration.ProcessUnderTest
+import yuccaferry.integration.ProxyStandIn
+import yuccaferry.integration.ServiceStandIn
+import yuccaferry.integration.Signal
+import yuccaferry.integration.eventually
+import yuccaferry.model.AccountEntry
+import yuccaferry.model.AccountName
+import yuccaferry.model.Address
+import yuccaferry.model.OperatorFile
+import yuccaferry.model.PlainServiceEntry
+import yuccaferry.model.RegionName
+import yuccaferry.model.ServiceName
+import yuccaferry.model.Target
+import yuccaferry.model.TargetId
+import yuccaferry.model.TargetKind
+import yuccaferry.model.ZoneEntry
+import yuccaferry.model.ZoneName
+import yuccaferry.platform.EtcdKeyValueStore
+import java.io.File
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.http.HttpRequest.BodyPublishers
+import java.net.http.HttpResponse
+import java.net.http.HttpResponse.BodyHandlers
+import java.security.MessageDigest
+import java.util.concurrent.CompletableFuture
+import kotlin.time.Duration.Companion.seconds
+
+private const val API_KEY = "key-of-the-test-account"
+private const val OPERATOR_TOKEN = "token-of-the-test-operator"
+private const val LEASE_MILLIS = 3_000L
+private const val POLL_MILLIS = 200L
+private const val DAEMON_HEAP_MEGABYTES = 128
+private val ACCOUNT = AccountName("parish")
+private val SERVICE = ServiceName("desk")
+private val REGION = RegionName("r")
+private val ZONE = ZoneName("zone-a")
+private val ANY_PORT = Listener("127.0.0.1", 0)
+
+/** What a caller was told of one call. */
+internal sealed interface Told {
+    data class Success(
+        val receipt: String,
+        val replayed: Boolean,
+    ) : Told
+
+    data class Refused(
+        val code: String,
+        val execution: String,
+    ) : Told
+
+    /** The connection to the daemon broke. */
+    data object Nothing : Told
+}
+
+internal val Told.notRun: Boolean get() = this is Told.Refused && execution == "not_run"
+
+/** One daemon, which can be started again after it was killed. */
+internal class BookingDaemon(
+    private val fleet: BookingFleet,
+    val name: String,
+) : AutoCloseable {
+    val storeProxy = ProxyStandIn("store-of-$name", fleet.keyValue.address)
+
+    @Volatile
+    var process = start()
+        private set
+
+    val admin: String get() = process.address("admin")
+
+    /** Kills the daemon and starts it again. */
+    fun kill() {
+        process.signal(Signal.KILL)
+        restart()
+    }
+
+    /** Starts the daemon again in a new process. */
+    fun restart() {
+        process.close()
+        process = start()
+    }
+
+    /** Whether the daemon runs and passes a call on. */
+    fun ready(): Boolean =
+        process.alive && HttpCalls.get(admin, "/ready").statusCode() == 200 &&
+            HttpCalls.get(process.address("callers"), "/services/$SERVICE/open", AUTHORIZATION).statusCode() == 200
+
+    /** Bookings that are claimed, running or waiting for their outcome to be written. */
+    fun pending(): Int =
+        HttpCalls
+            .get(admin, "/metrics")
+            .body()
+            .lineSequence()
+            .first { it.startsWith("yuccaferry_ledger_pending") }
+            .substringAfterLast(' ')
+            .toDouble()
+            .toInt()
+
+    /** Sends one booking with [key], or without a key of the caller's when null. */
+    fun book(
+        key: String?,
+        deadlineMillis: Long = 20_000,
+        body: String = "5 EUR",
+    ): CompletableFuture<Told> {
+        val request =
+            HttpCalls
+                .request(process.address("callers"), "/services/$SERVICE/pledges", AUTHORIZATION)
+                .header("X-Deadline-Ms", "$deadlineMillis")
+                .POST(BodyPublishers.ofString(body))
+        if (key != null) request.header("Idempotency-Key", key)
+        return HttpCalls.client.sendAsync(request.build(), BodyHandlers.ofString()).handle { response, error ->
+            if (error != null) Told.Nothing else told(response)
+        }
+    }
+
+    override fun close() {
+        process.close()
+        storeProxy.close()
+    }
+
+    private fun start(): ProcessUnderTest {
+        val file = File.createTempFile(name, ".json", File("target"))
+        file.writeText(Json.encodeToString(fleet.settings(name, storeProxy.address)))
+        return ProcessUnderTest.start(name, "yuccaferry.app.MainKt", listOf("--settings", file.path), DAEMON_HEAP_MEGABYTES)
+    }
+}
+
+internal class BookingFleet(
+    daemonCount: Int,
+) : AutoCloseable {
+    val keyValue = KeyValueStandIn()
+    private val instances = InstancesStandIn()
+    val desk = ServiceStandIn("desk-1")
+    val deskProxy = ProxyStandIn("proxy-desk", desk.address)
+    private val store = EtcdKeyValueStore(listOf(Address(keyValue.address)), timeoutMillis = 5_000)
+    val daemons: List<BookingDaemon>
+
+    init {
+        listDesk(deskProxy.address)
+        daemons = (1..daemonCount).map { BookingDaemon(this, "daemon-$it") }
+        eventually("the operators' file is accepted", 30.seconds) {
+            val headers = mapOf("Authorization" to "Bearer $OPERATOR_TOKEN")
+            val answer = HttpCalls.post(daemons.first().admin, "/v1/configuration?base=0", Json.encodeToString(operatorFile()), headers)
+            answer.statusCode() in setOf(200, 409)
+        }
+        eventually("all daemons serve", 60.seconds) { daemons.all { it.ready() } }
+    }
+
+    /** Lists the service at [address]. */
+    fun listDesk(address: String) =
+        instances.replace(listOf(Target(TargetId("desk-1"), TargetKind.SERVICE, SERVICE, ZONE, Address(address))))
+
+    /** The ledger's record of [key] as it is stored, or null. */
+    fun record(key: String): String? = runBlocking { store.read(LedgerKey.of(ACCOUNT, SERVICE, key).value) }.unwrap()?.value
+
+    /**
+     * Waits for a daemon that serves, other than [except], and prefers one that decides over the service's grants
+     * or not, as [holdsSeat] says. Seats may move at any time.
+     */
+    fun awaitReady(
+        holdsSeat: Boolean,
+        except: BookingDaemon? = null,
+    ): BookingDaemon {
+        var ready = emptyList<BookingDaemon>()
+        eventually("a daemon serves", 30.seconds) {
+            ready = daemons.filter { it !== except && it.ready() }
+            ready.isNotEmpty()
+        }
+        return ready.firstOrNull { it.holdsSeat() == holdsSeat } ?: ready.first()
+    }
+
+    private fun BookingDaemon.holdsSeat(): Boolean =
+        runBlocking { store.readPrefix("yuccaferry/control/seats/") }.unwrap().values.any { name in it.value }
+
+    /** Waits until the record of [key] is in [state]. */
+    fun awaitRecord(
+        key: String,
+        state: String,
+    ) = eventually("the record of $key is $state, not ${record(key)}", 15.seconds) {
+        record(key)?.contains("\"type\":\"$state\"") == true
+    }
+
+    /** Removes all faults and starts killed daemons again, without waiting for them. */
+    fun heal() {
+        keyValue.heal()
+        desk.heal()
+        deskProxy.heal()
+        daemons.forEach { it.storeProxy.heal() }
+        daemons.filterNot { it.process.alive }.forEach { it.restart() }
+    }
+
+    override fun close() {
+        daemons.forEach { it.close() }
+        listOf(deskProxy, desk, instances, keyValue).forEach { it.close() }
+        store.close()
+    }
+
+    fun settings(
+        name: String,
+        storeAddress: String,
+    ) = DaemonSettings(
+        settingsVersion = 1,
+        name = name,
+        region = REGION,
+        zone = ZONE,
+        callers = ANY_PORT,
+        admin = ANY_PORT,
+        peers = ANY_PORT,
+        platform = PlatformSettings(listOf(Address(storeAddress)), Address(instances.address), timeoutMillis = 1_000),
+        operators = listOf(OperatorToken("operator", sha256(OPERATOR_TOKEN))),
+        limits = LimitSettings(drainLagMillis = 200),
+        control =
+            ControlSettings(
+                seatsPerRegion = 1,
+                leaseMillis = LEASE_MILLIS,
+                configurationPollMillis = POLL_MILLIS,
+                instancePollMillis = POLL_MILLIS,
+            ),
+    )
+
+    private fun operatorFile() =
+        OperatorFile(
+            format = 1,
+            zones = listOf(ZoneEntry(ZONE, REGION)),
+            models = emptyList(),
+            services = listOf(PlainServiceEntry(SERVICE)),
+            accounts =
+                listOf(
+                    AccountEntry(
+                        name = ACCOUNT,
+                        keySha256 = listOf(sha256(API_KEY)),
+                        serves = listOf(SERVICE),
+                        deadlineSeconds = 30,
+                    ),
+                ),
+        )
+
+    companion object {
+        /** The fleet of all tests on bookings; it ends with the tests' JVM. */
+        val shared by lazy { BookingFleet(daemonCount = 3) }
+    }
+}
+
+/** Returns an address at which nothing listens. */
+internal fun closedAddress(): String = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { "127.0.0.1:${it.localPort}" }
+
+private val AUTHORIZATION = mapOf("Authorization" to "Bearer $API_KEY")
+
+private fun told(response: HttpResponse<String>): Told {
+    if (response.statusCode() < 300) {
+        return Told.Success(response.body(), response.headers().firstValue("Idempotency-Replayed").isPresent)
+    }
+    val error =
+        Json
+            .parseToJsonElement(response.body())
+            .jsonObject
+            .getValue("error")
+            .jsonObject
+
+    fun field(name: String) = error.getValue(name).jsonPrimitive.content
+    return Told.Refused(field("code"), field("execution"))
+}
+
+private fun sha256(text: String): String =
+    MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()).joinToString("") { "%02x".format(it) }
