--- a/integration-tests/src/test/kotlin/yuccaferry/integration/configuration/ConfigurationFleet.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/configuration/ConfigurationFleet.kt
@@ -15,6 +15,7 @@
 import yuccaferry.integration.KeyValueStandIn
 import yuccaferry.integration.ProcessUnderTest
 import yuccaferry.integration.ProxyStandIn
+import yuccaferry.integration.Signal
 import yuccaferry.integration.eventually
 import yuccaferry.model.Address
 import yuccaferry.model.Configuration
@@ -40,7 +41,7 @@
     val admin: String by lazy { process.address("admin") }
     val peer: Address by lazy { Address(process.address("peers")) }
 
-    fun signal(signal: yuccaferry.integration.Signal) = process.signal(signal)
+    fun signal(signal: Signal) = process.signal(signal)
 
     /** The configuration in force at this daemon. */
     fun configuration(): Configuration = AdminJson.decodeFromString(get("/v1/configuration").body())
@@ -74,8 +75,8 @@
 internal class ConfigurationFleet(
     count: Int,
 ) : AutoCloseable {
-    val keyValue = KeyValueStandIn()
-    private val instances = InstancesStandIn()
+    val keyValue = KeyValueStandIn("configuration-store")
+    private val instances = InstancesStandIn("configuration-list")
     private val started = mutableListOf<ConfiguredDaemon>()
     val daemons: List<ConfiguredDaemon> get() = started
 
--- a/integration-tests/src/test/kotlin/yuccaferry/integration/configuration/ConfigurationTest.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/configuration/ConfigurationTest.kt
@@ -21,6 +21,7 @@
 
 private const val DAEMONS = 3
 private const val RACES = 10
+private const val LOST_ROUNDS = 5
 private val IN_FORCE_BOUND = 5.seconds
 
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
@@ -45,6 +46,13 @@
     @AfterAll
     fun close() = fleet.close()
 
+    private fun weightAt(daemon: ConfiguredDaemon): Int =
+        daemon
+            .configuration()
+            .file.accounts
+            .single()
+            .weight
+
     private fun awaitVersion(
         version: Long,
         daemons: List<ConfiguredDaemon> = fleet.daemons,
@@ -112,19 +120,20 @@
     inner class `a lost answer of the key-value service` {
         @Test
         fun `is resolved by reading back`() {
-            val base = first.version()
-            first.keyValueProxy.faults("""{"dropAnswer":true}""")
-            val applying = CompletableFuture.supplyAsync { first.apply(weight = 55, base = base) }
-            eventually("the write has taken effect", IN_FORCE_BOUND) { second.version() == base + 1 }
-            first.keyValueProxy.heal()
-            assertEquals(
-                base + 1,
-                applying
-                    .join()
-                    .change()
-                    .version.value,
-            )
-            assertEquals(base + 1, second.version())
+            val lostBefore = fleet.keyValue.stats().lostAnswers
+            repeat(LOST_ROUNDS) { round ->
+                val base = fleet.daemons.maxOf { it.version() }
+                awaitVersion(base)
+                fleet.keyValue.faults("""{"lose_answers":1}""")
+                val version =
+                    first
+                        .apply(weight = 500 + round, base = base)
+                        .change()
+                        .version.value
+                assertEquals(base + 1, version)
+                assertEquals(500 + round, weightAt(first))
+            }
+            assertTrue(fleet.keyValue.stats().lostAnswers >= lostBefore + LOST_ROUNDS)
         }
     }
 
@@ -180,17 +189,7 @@
             val file = File.createTempFile("fleet", ".json", File("target")).apply { writeText(file(weight = 99)) }
             val arguments = listOf("apply", file.path, "--wait", "--admin", first.admin, "--token-file", token.path)
             ProcessUnderTest.start("ctl", "yuccaferry.ctl.MainKt", arguments).use { assertEquals(0, it.awaitEnd()) }
-            assertEquals(
-                listOf(99),
-                fleet.daemons
-                    .map {
-                        it
-                            .configuration()
-                            .file.accounts
-                            .single()
-                            .weight
-                    }.distinct(),
-            )
+            assertEquals(List(fleet.daemons.size) { 99 }, fleet.daemons.map { weightAt(it) })
         }
     }
 }
