--- a/ctl/src/main/kotlin/yuccaferry/ctl/ApplyCommand.kt
+++ b/ctl/src/main/kotlin/yuccaferry/ctl/ApplyCommand.kt
@@ -37,15 +37,17 @@
     }
 }
 
+internal enum class Direction { OUT, IN }
+
 @OptIn(ExperimentalCli::class)
 internal class ZoneCommand : CtlCommand("zone", "Take an availability zone out of service, or back in") {
-    private val direction by argument(ArgType.Choice(listOf("out", "in"), { it }), "DIRECTION", "out or in")
+    private val direction by argument(ArgType.Choice<Direction>(), "DIRECTION", "out of service, or back in")
     private val zone by argument(ArgType.String, "ZONE", "Name of the availability zone")
     private val wait by flag("wait", "Wait until the change is in force on every daemon").default(false)
     private val timeout by number("timeout", "Seconds to wait at most").default(DEFAULT_TIMEOUT_SECONDS)
 
     override suspend fun run(session: Session): ExitCode {
-        val answer = session.change("/v1/zones/${encodeSegment(zone)}/$direction").orFail(session)
+        val answer = session.change("/v1/zones/${encodeSegment(zone)}/${direction.name.lowercase()}").orFail(session)
         return session.finishChange(answer, timeout.takeIf { wait })
     }
 }
--- a/ctl/src/main/kotlin/yuccaferry/ctl/TextReports.kt
+++ b/ctl/src/main/kotlin/yuccaferry/ctl/TextReports.kt
@@ -45,14 +45,11 @@
                     it.daemon.value,
                     it.address.value,
                     it.region.value,
-                    it.heardMillisAgo?.let { ms -> "$ms ms ago" } ?: "never",
+                    it.heardMillisAgo?.let { ms -> "$ms ms ago" } ?: "not known",
                 )
             },
         ),
-        section(
-            listOf("seat", "region", "epoch"),
-            status.seats.map { listOf(it.seat.toString(), it.region.value, it.epoch.toString()) },
-        ),
+        describeSeats(status),
         section(
             listOf("target", "serves", "zone", "warm", "requests", "limit"),
             status.targets.map {
@@ -80,6 +77,18 @@
     return if (text.length <= SHOWN_CHARS) text else text.take(SHOWN_CHARS) + "..."
 }
 
+private fun describeSeats(status: DaemonStatus): String {
+    val held =
+        status.seats
+            .groupBy { it.region }
+            .entries
+            .sortedBy { it.key.value }
+    if (held.isEmpty()) return "holds no seats"
+    return held.joinToString("\n") { (region, seats) ->
+        "holds ${seats.size} seats in $region: ${seats.map { it.seat.value }.sorted().joinToString(" ")}"
+    }
+}
+
 private fun describeReadiness(status: DaemonStatus) =
     if (status.readiness.ready) "ready" else "not ready (${status.readiness.reasons.joinToString()})"
 
--- a/ctl/src/test/kotlin/yuccaferry/ctl/CtlTest.kt
+++ b/ctl/src/test/kotlin/yuccaferry/ctl/CtlTest.kt
@@ -44,7 +44,8 @@
         @Test
         fun `ends with the usage code and says what is wrong on standard error`() {
             assertEquals(ExitCode.USAGE, ctl("apply"))
-            assertEquals(ExitCode.USAGE, ctl("zone", "sideways", "a"))
+            assertEquals(ExitCode.USAGE, ctl("zone", "sideways", "a", admin = "http://127.0.0.1:1"))
+            assertEquals(ExitCode.USAGE, ctl("status", "--output", "yaml", admin = "http://127.0.0.1:1"))
             assertEquals(ExitCode.USAGE, ctl("status"))
             assertContains(err.toString(), "no daemon named")
             assertEquals("", out.toString())
