--- a/daemon/src/main/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeper.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeper.kt
@@ -18,6 +18,7 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.flow.getAndUpdate
 import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
@@ -48,6 +49,8 @@
 /** A poll comes up to this part of its interval early, so that daemons started together spread out. */
 private const val POLL_JITTER = 0.2
 
+private const val MILLIS_PER_SECOND = 1_000.0
+
 /** The configuration of this daemon. Safe for use by many coroutines. */
 class ConfigurationKeeper(
     store: KeyValueStore,
@@ -64,8 +67,14 @@
     private val head = MutableStateFlow(Head(0, Configuration.EMPTY))
     private val confirmed = MutableStateFlow<MonotonicTime?>(null)
     private val settledNow = MutableStateFlow(false)
+    private val unconfirmedReason = MutableStateFlow<String?>(null)
     private val fetching = Mutex()
 
+    init {
+        telemetry.gauge("yuccaferry.configuration.version") { current.version.value.toDouble() }
+        telemetry.gauge("yuccaferry.configuration.unconfirmed.seconds") { unconfirmedSeconds() }
+    }
+
     /** The configuration in force here, and each later one. */
     val configurations: StateFlow<Configuration> = held.asStateFlow()
 
@@ -149,6 +158,8 @@
         author: ChangeAuthor,
     ): Result<ConfigurationVersion, ChangeError> = writer.change(author.attempt) { decideZone(it, zone, out, author) }
 
+    private fun unconfirmedSeconds(): Double = lastConfirmed?.let { (clock.now() - it) / MILLIS_PER_SECOND } ?: Double.POSITIVE_INFINITY
+
     private fun storeAnswered(
         read: Head,
         sent: MonotonicTime,
@@ -161,6 +172,7 @@
         }
         confirmed.update { if (it == null || sent > it) sent else it }
         settledNow.value = true
+        noteConfirmed()
         return true
     }
 
@@ -199,7 +211,14 @@
         return fetched.isOk
     }
 
+    /** Logs that the store did not confirm, once for each reason. */
     private fun warn(message: String) {
+        if (unconfirmedReason.getAndUpdate { message } == message) return
         telemetry.event("configuration_not_confirmed", Field("reason", message), severity = Severity.WARN)
     }
+
+    private fun noteConfirmed() {
+        if (unconfirmedReason.getAndUpdate { null } == null) return
+        telemetry.event("configuration_confirmed_again", Field("version", current.version))
+    }
 }
--- a/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
@@ -9,6 +9,9 @@
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
+import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.Severity
+import yuccaferry.daemon.port.Telemetry
 import yuccaferry.decisions.configuration.ChangeRefusal
 import yuccaferry.decisions.configuration.Member
 import yuccaferry.model.ConfigurationVersion
@@ -87,6 +90,32 @@
             }
     }
 
+    @Nested
+    inner class `an outage of the store` {
+        @Test
+        fun `is logged when it starts and when it ends`() =
+            runTest {
+                val events = mutableListOf<String>()
+                val telemetry =
+                    object : Telemetry by SilentTelemetry {
+                        override fun event(
+                            name: String,
+                            vararg fields: Field,
+                            severity: Severity,
+                        ) {
+                            events += name
+                        }
+                    }
+                val self = Membership(member("one"))
+                val keeper = ConfigurationKeeper(store, { MonotonicTime(currentTime) }, telemetry, peers, { self })
+                store.away = true
+                repeat(3) { keeper.refresh() }
+                store.away = false
+                repeat(3) { keeper.refresh() }
+                assertEquals(listOf("configuration_not_confirmed", "configuration_confirmed_again"), events)
+            }
+    }
+
     @Nested
     inner class `a daemon that fetched a version from another` {
         @Test
