Let an engine have its old pace as soon as it is no longer slowed down

The next decode tick had been set by the slow pace, so after a slow factor of 10,000 was removed every stream of the engine stood still for minutes after its first piece, and tests that ran later met an engine that seemed to hang. The new test failed before.

--- a/standin/src/main/kotlin/yuccaferry/standin/engine/Batch.kt
+++ b/standin/src/main/kotlin/yuccaferry/standin/engine/Batch.kt
@@ -34,8 +34,7 @@
     private var chunk: Chunk? = null
     private var nextTick: Long? = null
 
-    /** How many times longer prefill and decode take. */
-    var slowFactor = 1.0
+    private var slowFactor = 1.0
 
     val jobs: List<Job> get() = list
     val running: Int get() = list.count { it.stage == Stage.PREFILL || it.stage == Stage.DECODE }
@@ -46,6 +45,16 @@
         list += job
     }
 
+    /** Makes prefill and decode take [factor] times as long, from [now] on. */
+    fun slowDown(
+        factor: Double,
+        now: Long,
+    ) {
+        slowFactor = factor
+        chunk = null
+        if (nextTick != null) nextTick = now + tickNanos()
+    }
+
     /** Takes [job] out and frees what it holds. */
     fun remove(
         job: Job,
--- a/standin/src/main/kotlin/yuccaferry/standin/engine/Engine.kt
+++ b/standin/src/main/kotlin/yuccaferry/standin/engine/Engine.kt
@@ -186,7 +186,8 @@
     @Synchronized
     fun setFaults(new: EngineFaults) {
         faults = new
-        batch.slowFactor = new.slowFactor
+        batch.slowDown(new.slowFactor, clock())
+        listener.workAdded()
         if (new.turnCold) turnCold()
         if (new.crash) crash()
     }
--- a/standin/src/test/kotlin/yuccaferry/standin/engine/EngineTest.kt
+++ b/standin/src/test/kotlin/yuccaferry/standin/engine/EngineTest.kt
@@ -196,6 +196,22 @@
         }
     }
 
+    @Nested
+    inner class `a slow engine` {
+        @Test
+        fun `has its old pace as soon as the fault is removed`() {
+            val engine = engine(EngineSettings(startWarm = true, decodeTokensPerSecond = 100))
+            engine.submit(request("a", maxTokens = 10))
+            engine.after(20)
+            engine.setFaults(EngineFaults(slowFactor = 1_000.0))
+            engine.after(1_000)
+            assertEquals(emptyList(), engine.endings("a"))
+            engine.setFaults(EngineFaults())
+            engine.after(100)
+            assertEquals(listOf("finished"), engine.endings("a"))
+        }
+    }
+
     @Nested
     inner class `fencing` {
         private val order = OrderRequest(epoch = 4, model = "m", version = "2")
