--- a/daemon/src/test/kotlin/yuccaferry/daemon/configuration/FakeStore.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/FakeStore.kt
@@ -33,11 +33,15 @@
     private var revision = 1L
     var lose: () -> LostWrite? = { null }
     var away = false
+    var refusesWrites = false
     val written = mutableListOf<StoredValue>()
 
     override suspend fun read(key: String): Result<StoredValue?, StoreError> {
         pause()
-        return if (away) Err(StoreError.NotApplied("away")) else Ok(values[key])
+        if (away) return Err(StoreError.NotApplied("away"))
+        val value = values[key]
+        pause()
+        return Ok(value)
     }
 
     override suspend fun readPrefix(
@@ -46,7 +50,9 @@
     ): Result<PrefixSnapshot, StoreError> {
         pause()
         if (away) return Err(StoreError.NotApplied("away"))
-        return Ok(PrefixSnapshot(revision, values.values.filter { it.key.startsWith(prefix) && it.revision > afterRevision }))
+        val snapshot = PrefixSnapshot(revision, values.values.filter { it.key.startsWith(prefix) && it.revision > afterRevision })
+        pause()
+        return Ok(snapshot)
     }
 
     override suspend fun compareAndSwap(
@@ -56,7 +62,7 @@
         lease: LeaseId?,
     ): Result<SwapOutcome, StoreError> {
         pause()
-        if (away) return Err(StoreError.NotApplied("away"))
+        if (away || refusesWrites) return Err(StoreError.NotApplied("away"))
         val lost = lose() ?: return Ok(swap(key, expectedRevision, value)).also { pause() }
         when (lost) {
             LostWrite.APPLIED -> {
