Test engine failures, answer integrity and leaving callers with real processes

One fleet on loopback: platform stand-ins, two engines and a plain service behind proxies, a daemon; configuration through the admin port. The fault is set on the engine that placement prefers, and rounds are repeated until that engine has met a request. After each test the engines' own books have to show nothing held.

--- /dev/null
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/AnswerIntegrityTest.kt
@@ -0,0 +1,94 @@
+/*
+ * A caller gets the whole answer to its own request: pieces that are missing, repeated, late, or another request's
+ * are never passed on, and an answer that was cut short never looks complete.
+ */
+package yuccaferry.integration
+
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.TestInstance
+import java.util.concurrent.CompletableFuture
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+
+private const val DEADLINE_MILLIS = 4_000L
+private const val CONCURRENT = 8
+
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class AnswerIntegrityTest {
+    private val fleet = SharedFleet.fleet
+    private val caller = Caller(fleet.daemons.first().callers)
+
+    @AfterEach
+    fun heal() {
+        fleet.heal()
+        fleet.awaitNothingHeld()
+    }
+
+    /** Prompts at once, streamed and not, while one engine has [fault]; every answer has to be whole. */
+    private fun manyWhole(fault: String) =
+        fleet.untilFaultIsMet(fault) { round ->
+            val answers =
+                (1..CONCURRENT)
+                    .map { i ->
+                        CompletableFuture.supplyAsync {
+                            val prompt = "$fault, round $round, prompt $i"
+                            if (i % 2 == 0) caller.stream(prompt) else caller.whole(prompt)
+                        }
+                    }.map { it.get() }
+            assertEquals(emptyList(), answers.filterNot { it.whole }.map { "$it" })
+        }
+
+    @Nested
+    inner class `while another engine answers well, every answer is whole when one engine` {
+        @Test
+        fun `drops a piece`() = manyWhole("""{"drop_piece":4}""")
+
+        @Test
+        fun `repeats a piece`() = manyWhole("""{"duplicate_piece":4}""")
+
+        @Test
+        fun `sends the pieces of another request`() = manyWhole("""{"cross_request_ids":true}""")
+
+        @Test
+        fun `ends its answers early without a finish`() = manyWhole("""{"truncate":6}""")
+
+        @Test
+        fun `sends late answers to requests that have moved on`() = manyWhole("""{"late_ms":${STALL_MILLIS + 1_000}}""")
+    }
+
+    @Nested
+    inner class `an answer that can't be completed` {
+        private fun failing(
+            fault: String,
+            send: (String) -> Answer,
+        ): Answer {
+            fleet.sites.forEach { it.engine.faults(fault) }
+            val answer = send("all engines have $fault")
+            assertFalse(answer.complete, "$answer")
+            assertNotNull(answer.error, "$answer")
+            assertTrue(answer.truePrefix, "$answer")
+            return answer
+        }
+
+        @Test
+        fun `is an error in the stream when it was cut short`() {
+            failing("""{"truncate":3}""") { caller.stream(it, deadlineMillis = DEADLINE_MILLIS) }
+        }
+
+        @Test
+        fun `is an error and no text when it was asked for in one body`() {
+            val answer = failing("""{"truncate":3}""") { caller.whole(it, deadlineMillis = DEADLINE_MILLIS) }
+            assertEquals("", answer.text.toString())
+        }
+
+        @Test
+        fun `has no piece of another request`() {
+            val answer = failing("""{"cross_request_ids":true}""") { caller.stream(it, deadlineMillis = DEADLINE_MILLIS) }
+            assertEquals("", answer.text.toString())
+        }
+    }
+}
--- /dev/null
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/Fleet.kt
@@ -0,0 +1,213 @@
+/*
+ * A fleet on loopback: the platform's stand-ins, two engines and a plain service in two zones, each target behind
+ * a proxy, and daemons that serve one model and one service to one client account.
+ */
+package yuccaferry.integration
+
+import kotlinx.serialization.json.Json
+import yuccaferry.app.ControlSettings
+import yuccaferry.app.DaemonSettings
+import yuccaferry.app.LimitSettings
+import yuccaferry.app.Listener
+import yuccaferry.app.PlatformSettings
+import yuccaferry.http.admin.OperatorToken
+import yuccaferry.model.AccountEntry
+import yuccaferry.model.AccountName
+import yuccaferry.model.Address
+import yuccaferry.model.EngineLimits
+import yuccaferry.model.ModelEntry
+import yuccaferry.model.ModelVersion
+import yuccaferry.model.OperatorFile
+import yuccaferry.model.PlainServiceEntry
+import yuccaferry.model.RegionName
+import yuccaferry.model.ServiceName
+import yuccaferry.model.Target
+import yuccaferry.model.TargetId
+import yuccaferry.model.TargetKind
+import yuccaferry.model.ZoneEntry
+import yuccaferry.model.ZoneName
+import java.io.File
+import java.security.MessageDigest
+import kotlin.time.Duration.Companion.seconds
+
+internal const val MODEL = "m"
+internal const val SERVICE = "desk"
+internal const val API_KEY = "key-of-the-test-account"
+internal const val OPERATOR_TOKEN = "token-of-the-test-operator"
+
+/** Bounds of the daemons under test; short, so that a failure is noticed within a test. */
+internal const val STALL_MILLIS = 1_500L
+private const val POLL_MILLIS = 100L
+private const val MOST_ROUNDS = 20
+private const val REQUESTS_TO_FILL_BUDGET = 50
+private const val LEASE_MILLIS = 3_000L
+private const val ORPHAN_GRACE_MILLIS = 2_000L
+private const val DAEMON_HEAP_MEGABYTES = 128
+private val REGION = RegionName("r")
+private val ZONES = listOf(ZoneName("zone-a"), ZoneName("zone-b"))
+private val ANY_PORT = Listener("127.0.0.1", 0)
+
+/** One engine, the proxy before it, and its name in the instance list. */
+internal class EngineSite(
+    val target: TargetId,
+    val zone: ZoneName,
+    val engine: EngineStandIn,
+) : AutoCloseable {
+    val proxy = ProxyStandIn("proxy-$target", engine.address)
+
+    /** Removes all faults of the engine and of the proxy. */
+    fun heal() {
+        engine.heal()
+        proxy.heal()
+    }
+
+    override fun close() {
+        proxy.close()
+        engine.close()
+    }
+}
+
+/** One daemon as a process. */
+internal class DaemonUnderTest(
+    val process: ProcessUnderTest,
+) {
+    val callers: String by lazy { process.address("callers") }
+    val admin: String by lazy { process.address("admin") }
+}
+
+/** Everything that one test class needs, started once. */
+internal class Fleet(
+    daemonCount: Int = 1,
+    vararg engineOptions: String = arrayOf("--start-warm", "--decode-tokens-per-second", "100", "--prefill-tokens-per-second", "2000"),
+) : AutoCloseable {
+    val keyValue = KeyValueStandIn()
+    val instances = InstancesStandIn()
+    private val service = ServiceStandIn("desk-1")
+    private val engines = ZONES.map { EngineStandIn("engine-$it", "--model", MODEL, *engineOptions) }
+    val sites = ZONES.zip(engines) { zone, engine -> EngineSite(TargetId("engine-$zone"), zone, engine) }
+    val serviceProxy = ProxyStandIn("proxy-service", service.address)
+    val desk: ServiceStandIn get() = service
+    val daemons: List<DaemonUnderTest>
+
+    init {
+        instances.replace(targets())
+        daemons = (1..daemonCount).map { DaemonUnderTest(startDaemon("daemon-$it")) }
+        apply()
+        daemons.forEach { daemon -> eventually("${daemon.process.name} serves", 30.seconds) { serves(daemon) } }
+    }
+
+    /**
+     * Sets [fault] on one engine and calls [round] with its number until that engine has accepted a request since;
+     * placement decides which engine a request goes to, so that a round may miss the fault.
+     */
+    fun untilFaultIsMet(
+        fault: String,
+        round: (Int) -> Unit,
+    ) {
+        earnRetries()
+        val engine = preferredEngine(fault)
+        engine.faults(fault)
+        val before = engine.stats().accepted
+        for (number in 1..MOST_ROUNDS) {
+            round(number)
+            if (engine.stats().accepted > before) return
+        }
+        error("no request met the fault $fault")
+    }
+
+    /** Sends requests without a fault, which fill the account's retry budget. */
+    fun earnRetries() = repeat(REQUESTS_TO_FILL_BUDGET) { Caller(daemons.first().callers).stream("earn $it", pieces = 1) }
+
+    private fun preferredEngine(prompt: String): EngineStandIn {
+        val before = sites.map { it.engine.stats().accepted }
+        Caller(daemons.first().callers).stream(prompt, pieces = 1)
+        return sites.filterIndexed { i, site -> site.engine.stats().accepted > before[i] }.single().engine
+    }
+
+    /** Waits until neither engine holds memory. */
+    fun awaitNothingHeld() =
+        eventually("no engine holds memory: ${sites.map { it.engine.stats().requests }}", 15.seconds) {
+            sites.all { it.engine.stats().kvHeldTokens == 0L }
+        }
+
+    /** Removes all faults. */
+    fun heal() {
+        sites.forEach { it.heal() }
+        service.heal()
+        serviceProxy.heal()
+        keyValue.heal()
+    }
+
+    override fun close() {
+        daemons.forEach { it.process.close() }
+        sites.forEach { it.close() }
+        listOf(serviceProxy, service, instances, keyValue).forEach { it.close() }
+    }
+
+    private fun targets() =
+        sites.map { Target(it.target, TargetKind.ENGINE, ServiceName(MODEL), it.zone, Address(it.proxy.address)) } +
+            Target(TargetId("desk-1"), TargetKind.SERVICE, ServiceName(SERVICE), ZONES.first(), Address(serviceProxy.address))
+
+    private fun startDaemon(name: String): ProcessUnderTest {
+        val settings =
+            DaemonSettings(
+                settingsVersion = 1,
+                name = name,
+                region = REGION,
+                zone = ZONES.first(),
+                callers = ANY_PORT,
+                admin = ANY_PORT,
+                peers = ANY_PORT,
+                platform = PlatformSettings(listOf(Address(keyValue.address)), Address(instances.address)),
+                operators = listOf(OperatorToken("operator", sha256(OPERATOR_TOKEN))),
+                limits = LimitSettings(firstPieceStallMillis = STALL_MILLIS, pieceStallMillis = STALL_MILLIS, drainLagMillis = 500),
+                control =
+                    ControlSettings(
+                        seatsPerRegion = 8,
+                        leaseMillis = LEASE_MILLIS,
+                        configurationPollMillis = POLL_MILLIS,
+                        instancePollMillis = POLL_MILLIS,
+                        observeMillis = POLL_MILLIS,
+                        orphanGraceMillis = ORPHAN_GRACE_MILLIS,
+                    ),
+            )
+        val file = File.createTempFile(name, ".json", File("target")).apply { writeText(Json.encodeToString(settings)) }
+        return ProcessUnderTest.start(name, "yuccaferry.app.MainKt", listOf("--settings", file.path), DAEMON_HEAP_MEGABYTES)
+    }
+
+    private fun apply() {
+        val file = Json.encodeToString(operatorFile())
+        val headers = mapOf("Authorization" to "Bearer $OPERATOR_TOKEN")
+        eventually("the operators' file is accepted", 30.seconds) {
+            HttpCalls.post(daemons.first().admin, "/v1/configuration?base=0", file, headers).statusCode() in setOf(200, 409)
+        }
+    }
+
+    private fun operatorFile() =
+        OperatorFile(
+            format = 1,
+            zones = ZONES.map { ZoneEntry(it, REGION) },
+            models = listOf(ModelEntry(ServiceName(MODEL), ModelVersion("1"), engine = EngineLimits(kvTokens = 400_000))),
+            services = listOf(PlainServiceEntry(ServiceName(SERVICE))),
+            accounts =
+                listOf(
+                    AccountEntry(
+                        name = AccountName("account"),
+                        keySha256 = listOf(sha256(API_KEY)),
+                        serves = listOf(ServiceName(MODEL), ServiceName(SERVICE)),
+                        deadlineSeconds = 30,
+                    ),
+                ),
+        )
+
+    private fun serves(daemon: DaemonUnderTest): Boolean =
+        HttpCalls.get(daemon.admin, "/ready").statusCode() == 200 && Caller(daemon.callers).stream("warm-up", pieces = 1).complete
+}
+
+/** The fleet of the tests that need no settings of their own; it ends with the tests' JVM. */
+internal object SharedFleet {
+    val fleet by lazy { Fleet() }
+}
+
+internal fun sha256(text: String): String =
+    MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()).joinToString("") { "%02x".format(it) }
