--- /dev/null
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/EntryDaemonDeathTest.kt
@@ -0,0 +1,47 @@
+/*
+ * An entry daemon that dies, or is paused and loses its lease, leaves work at engines; the daemons that remain find
+ * it and release it, well before the deadlines of the requests.
+ */
+package yuccaferry.integration
+
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.TestInstance
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+private const val MANY_PIECES = 50_000
+private const val STREAMS = 4
+
+/** Lease of the dead daemon, grace time of its orphans, and the takeover of its seats. */
+private val RELEASE_BOUND = 15.seconds
+
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class EntryDaemonDeathTest {
+    private val fleet = Fleet(daemonCount = 2)
+
+    @AfterAll
+    fun stop() = fleet.close()
+
+    @Test
+    fun `work of a killed daemon is released at the engines, and the other daemon serves on`() {
+        val (survivor, victim) = fleet.daemons
+        val begun = AtomicInteger()
+        val calls =
+            (1..STREAMS).map { i ->
+                CompletableFuture.supplyAsync {
+                    Caller(victim.callers).stream("daemon dies, prompt $i", MANY_PIECES) { received ->
+                        if (received == 3) begun.incrementAndGet()
+                        true
+                    }
+                }
+            }
+        eventually("all streams have begun") { begun.get() == STREAMS }
+        victim.process.signal(Signal.KILL)
+        eventually("the orphans are released", RELEASE_BOUND) { fleet.sites.all { it.engine.stats().kvHeldTokens == 0L } }
+        calls.map { it.get() }.forEach { assertTrue(!it.complete && it.truePrefix, "$it") }
+        eventually("the other daemon serves", RELEASE_BOUND) { Caller(survivor.callers).stream("after the death").whole }
+    }
+}
