--- a/load/src/main/kotlin/yuccaferry/load/Caller.kt
+++ b/load/src/main/kotlin/yuccaferry/load/Caller.kt
@@ -30,6 +30,7 @@
 private const val CONNECT_TIMEOUT_MILLIS = 5_000L
 private const val KEEP_ALIVE_MILLIS = 2_000L
 private const val EVENT_PREFIX = "data:"
+private const val MESSAGE_LENGTH = 100
 
 // Codes of endings that the client sees by itself.
 internal const val CODE_TIMEOUT = "client_timeout"
@@ -156,7 +157,7 @@
     ): Outcome {
         if (!response.status.isSuccess()) return refused(request, sent, response)
         val body = response.bodyAsText()
-        val ending = if (mustContain in body) Ending.Complete else Ending.Wrong("answer without $mustContain")
+        val ending = if (mustContain in body) Ending.Complete else Ending.Wrong("no $mustContain in ${body.take(MESSAGE_LENGTH)}")
         val end = now()
         return Outcome(request, ending, sent, end, end)
     }
