--- a/load/src/test/kotlin/yuccaferry/load/PlanTest.kt
+++ b/load/src/test/kotlin/yuccaferry/load/PlanTest.kt
@@ -93,6 +93,7 @@
 
         @Test
         fun `that are shipped can be read`() {
+            assertEquals("zone", readExperiment(Path.of("experiments/zone.json")).get()?.name)
             assertEquals("mixed", readExperiment(Path.of("experiments/mixed.json")).get()?.name)
         }
 
