--- a/daemon/src/main/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeper.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeper.kt
@@ -18,6 +18,7 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.flow.getAndUpdate
 import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
@@ -25,6 +26,7 @@
 import yuccaferry.daemon.port.Clock
 import yuccaferry.daemon.port.ConfigurationPeers
 import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.HeldConfiguration
 import yuccaferry.daemon.port.KeyValueStore
 import yuccaferry.daemon.port.Severity
 import yuccaferry.daemon.port.Telemetry
@@ -47,6 +49,8 @@
 /** A poll comes up to this part of its interval early, so that daemons started together spread out. */
 private const val POLL_JITTER = 0.2
 
+private const val MILLIS_PER_SECOND = 1_000.0
+
 /** The configuration of this daemon. Safe for use by many coroutines. */
 class ConfigurationKeeper(
     store: KeyValueStore,
@@ -63,14 +67,28 @@
     private val head = MutableStateFlow(Head(0, Configuration.EMPTY))
     private val confirmed = MutableStateFlow<MonotonicTime?>(null)
     private val settledNow = MutableStateFlow(false)
+    private val unconfirmedReason = MutableStateFlow<String?>(null)
     private val fetching = Mutex()
 
+    init {
+        telemetry.gauge("yuccaferry.configuration.version") { current.version.value.toDouble() }
+        telemetry.gauge("yuccaferry.configuration.unconfirmed.seconds") { unconfirmedSeconds() }
+    }
+
     /** The configuration in force here, and each later one. */
     val configurations: StateFlow<Configuration> = held.asStateFlow()
 
     /** The configuration in force here. */
     val current: Configuration get() = held.value
 
+    /** [current] with the revision it was read from, for other daemons. */
+    val heldConfiguration: HeldConfiguration
+        get() {
+            val newest = current
+            val known = head.value
+            return HeldConfiguration(newest, if (known.configuration.version == newest.version) known.revision else 0)
+        }
+
     /** When the key-value service last confirmed [current], counted from before it was asked; null when it never did. */
     val lastConfirmed: MonotonicTime? get() = confirmed.value
 
@@ -120,7 +138,7 @@
     ): ConfigurationVersion {
         if (version > current.version) {
             fetching.withLock {
-                if (version > current.version) peers.fetch(from, current.version).get()?.let { adopt(it) }
+                if (version > current.version) peers.fetch(from, current.version).get()?.let { take(it) }
             }
         }
         return current.version
@@ -140,6 +158,8 @@
         author: ChangeAuthor,
     ): Result<ConfigurationVersion, ChangeError> = writer.change(author.attempt) { decideZone(it, zone, out, author) }
 
+    private fun unconfirmedSeconds(): Double = lastConfirmed?.let { (clock.now() - it) / MILLIS_PER_SECOND } ?: Double.POSITIVE_INFINITY
+
     private fun storeAnswered(
         read: Head,
         sent: MonotonicTime,
@@ -152,6 +172,7 @@
         }
         confirmed.update { if (it == null || sent > it) sent else it }
         settledNow.value = true
+        noteConfirmed()
         return true
     }
 
@@ -161,6 +182,8 @@
         return false
     }
 
+    private fun take(fetched: HeldConfiguration) = learned(Head(fetched.revision, fetched.configuration))
+
     private fun learned(read: Head) {
         head.update { if (read.revision > it.revision) read else it }
         adopt(read.configuration)
@@ -184,11 +207,18 @@
 
     private suspend fun fetchFrom(peer: Address): Boolean {
         val fetched = peers.fetch(peer, current.version)
-        fetched.get()?.let { adopt(it) }
+        fetched.get()?.let { take(it) }
         return fetched.isOk
     }
 
+    /** Logs that the store did not confirm, once for each reason. */
     private fun warn(message: String) {
+        if (unconfirmedReason.getAndUpdate { message } == message) return
         telemetry.event("configuration_not_confirmed", Field("reason", message), severity = Severity.WARN)
     }
+
+    private fun noteConfirmed() {
+        if (unconfirmedReason.getAndUpdate { null } == null) return
+        telemetry.event("configuration_confirmed_again", Field("version", current.version))
+    }
 }
