Accept a configuration only once a majority of each roster holds it too

Cause: a daemon that is cut off goes on by what a majority of its region's roster knows, but a change was accepted by a majority of all daemons, and these two need not meet: an accepted change could be unknown to an attesting majority. Test seen failing first: ACCEPTED with two of two daemons and one of three attesters; now PENDING.

--- a/app/src/main/kotlin/yuccaferry/app/Daemon.kt
+++ b/app/src/main/kotlin/yuccaferry/app/Daemon.kt
@@ -256,7 +256,15 @@
     private fun membership(): Membership {
         val joined = seatTable.members.filter { it.id != id }.map { Member(it.peer, it.region) }
         val seeds = settings.peerSeeds.map { Member(it.address, it.region) }.filter { it.address != peerAddress }
-        return Membership(self = Member(peerAddress, settings.region), others = joined.ifEmpty { seeds })
+        return Membership(self = Member(peerAddress, settings.region), others = joined.ifEmpty { seeds }, attesters = attesters())
+    }
+
+    private fun attesters(): List<Member> {
+        val regions =
+            keeper.current.file.zones
+                .map { it.region }
+                .toSet()
+        return regions.flatMap { region -> seatTable.roster(region).members.map { Member(it.peer, region) } }
     }
 
     private inner class GrantHandler : GrantPeerHandler {
--- a/daemon/src/main/kotlin/yuccaferry/daemon/configuration/ConfigurationSpread.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/configuration/ConfigurationSpread.kt
@@ -31,16 +31,21 @@
     private val scope: CoroutineScope,
     private val settings: ConfigurationSettings = ConfigurationSettings(),
 ) {
-    /** Announces [version] and waits until a majority of each region holds it, at most [ConfigurationSettings.acceptMillis]. */
+    /** Announces [version] and waits until a majority of each region and of each roster holds it, at most [ConfigurationSettings.acceptMillis]. */
     suspend fun spread(version: ConfigurationVersion): ChangeState {
         val known = membership()
         val holders = MutableStateFlow(setOf(known.self.address))
         val announcing = known.others.map { scope.launch { announceUntilHeld(it.address, version, known.self.address, holders) } }
-        val reached = withTimeoutOrNull(settings.acceptMillis) { holders.first { heldByMajorities(known.all, it) } }
+        val reached = withTimeoutOrNull(settings.acceptMillis) { holders.first { isAccepted(known, it) } }
         if (reached == null) announcing.forEach { it.cancel() }
         return if (reached == null) ChangeState.PENDING else ChangeState.ACCEPTED
     }
 
+    private fun isAccepted(
+        known: Membership,
+        holders: Set<Address>,
+    ) = heldByMajorities(known.all, holders) && heldByMajorities(known.attesters, holders)
+
     /** Asks every known daemon for the version in force there. */
     suspend fun fleet(): List<FleetMember> {
         val known = membership()
--- a/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
@@ -225,6 +225,18 @@
                 assertEquals(ChangeState.PENDING, spread(one).spread(ConfigurationVersion(1)))
             }
 
+        @Test
+        fun `is pending while a majority of the daemons but not of the roster hold it`() =
+            runTest {
+                val one = keeper("one")
+                keeper("two")
+                one.apply(file(weight = 1), ConfigurationVersion(0), author("x"))
+                one.refresh()
+                val known = Membership(members.first(), members.drop(1), attesters = listOf(members.first(), member("gone"), member("lost")))
+                val spread = ConfigurationSpread(one, peers, { known }, backgroundScope)
+                assertEquals(ChangeState.PENDING, spread.spread(ConfigurationVersion(1)))
+            }
+
         @Test
         fun `never goes down although the store lost its newest`() =
             runTest {
