--- a/decisions/src/main/kotlin/yuccaferry/decisions/seats/SeatNode.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/seats/SeatNode.kt
@@ -87,6 +87,7 @@
                 is PromiseRequest.Against -> view.leaseGone(request.holder, fresh, now)
                 is PromiseRequest.RosterUpTo -> view.readWithin(fresh, now)
             }
+        if (!sees) reader.hurry()
         return book.promise(request, sees, now)
     }
 
@@ -167,7 +168,8 @@
 
     private fun askAttestations(now: MonotonicTime): List<SeatEffect> {
         val asker = continuation ?: return emptyList()
-        val silent = lastAnswerAt.let { it == null || now - it > settings.silenceMillis }
+        val patience = settings.pollIntervalMillis(view.fleetSize) + settings.silenceMillis
+        val silent = lastAnswerAt.let { it == null || now - it > patience }
         if (!silent && lease.valid(now)) return emptyList()
         if (!asker.roundDue(now)) return emptyList()
         return asker.startRound(configuration, now)
@@ -230,10 +232,7 @@
         return (view.absentMillis(member.id) ?: 0) < settings.rosterGraceMillis
     }
 
-    private fun attestedUntil(): MonotonicTime? {
-        val until = continuation?.takeIf { it.holder == lease.holder }?.attestedUntil ?: return null
-        return minOf(until, attestsUntil())
-    }
+    private fun attestedUntil(): MonotonicTime? = continuation?.takeIf { it.holder == lease.holder }?.attestedUntil
 
     private fun attestsUntil(): MonotonicTime =
         if (left) MonotonicTime(Long.MIN_VALUE) else lease.validUntil + settings.continuationLimitMillis
@@ -244,7 +243,7 @@
 
     private companion object {
         const val FRESH_READS = 2
-        const val ROSTER_EXIT_MILLIS = 10_000L
+        const val ROSTER_EXIT_MILLIS = 5_000L
         const val MAINTAINER_KEY = "maintainer"
     }
 }
