--- a/load/src/main/kotlin/yuccaferry/load/Comparison.kt
+++ b/load/src/main/kotlin/yuccaferry/load/Comparison.kt
@@ -13,7 +13,9 @@
 ): String =
     buildString {
         val runs = listOf(baseline) + others
-        appendLine(line("", *runs.map { it.label }.toTypedArray(), *others.map { "gain" }.toTypedArray()))
+        runs.forEachIndexed { number, run -> appendLine("run ${number + 1}: ${run.label}${if (number == 0) ", the baseline" else ""}") }
+        val columns = runs.indices.map { "run ${it + 1}" } + others.indices.map { "gain ${it + 2}" }
+        appendLine(line("", *columns.toTypedArray()))
         for (measure in measures(runs)) appendLine(measure.row(baseline, others))
         for (run in others) {
             if (run.seed != baseline.seed || run.experiment != baseline.experiment || run.without != baseline.without) {
--- a/load/src/main/kotlin/yuccaferry/load/ResultTable.kt
+++ b/load/src/main/kotlin/yuccaferry/load/ResultTable.kt
@@ -2,7 +2,7 @@
 package yuccaferry.load
 
 private const val NAME_WIDTH = 26
-private const val NUMBER_WIDTH = 10
+private const val NUMBER_WIDTH = 9
 
 /** The table of [result], with a line feed at the end of each line. */
 internal fun tableOf(result: RunResult): String =
@@ -57,7 +57,7 @@
 internal fun line(
     name: String,
     vararg columns: String,
-): String = name.padEnd(NAME_WIDTH) + columns.joinToString("") { it.padStart(NUMBER_WIDTH) }
+): String = name.padEnd(NAME_WIDTH) + columns.joinToString("") { " " + it.padStart(NUMBER_WIDTH) }
 
 /** [value] with as many decimals as it deserves. */
 internal fun format(value: Double): String =
