Test cold engines, memory, rolling replacement and zones with real processes (two fail so far)

Seen on the first run: rolling replacement cut 48 of 482 requests; two of three crossing prompts of three engines each were refused.

--- a/integration-tests/src/test/kotlin/yuccaferry/integration/Fleet.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/Fleet.kt
@@ -75,16 +75,24 @@
     val admin: String by lazy { process.address("admin") }
 }
 
-/** Everything that one test class needs, started once. */
+/**
+ * Everything that one test class needs, started once.
+ *
+ * @param limits what the operators' file says of the engines.
+ * @param enginesPerZone engines in each of the two zones.
+ */
 internal class Fleet(
     daemonCount: Int = 1,
+    private val limits: EngineLimits = EngineLimits(kvTokens = 400_000),
+    enginesPerZone: Int = 1,
     vararg engineOptions: String = arrayOf("--start-warm", "--decode-tokens-per-second", "100", "--prefill-tokens-per-second", "2000"),
 ) : AutoCloseable {
     val keyValue = KeyValueStandIn()
     val instances = InstancesStandIn()
     private val service = ServiceStandIn("desk-1")
-    private val engines = ZONES.map { EngineStandIn("engine-$it", "--model", MODEL, *engineOptions) }
-    val sites = ZONES.zip(engines) { zone, engine -> EngineSite(TargetId("engine-$zone"), zone, engine) }
+    private val names = ZONES.flatMap { zone -> (1..enginesPerZone).map { zone to if (it == 1) "engine-$zone" else "engine-$zone-$it" } }
+    private val engines = names.map { (_, name) -> EngineStandIn(name, "--model", MODEL, *engineOptions) }
+    val sites = names.zip(engines) { (zone, name), engine -> EngineSite(TargetId(name), zone, engine) }
     val serviceProxy = ProxyStandIn("proxy-service", service.address)
     val desk: ServiceStandIn get() = service
     val daemons: List<DaemonUnderTest>
@@ -124,6 +132,23 @@
         return sites.filterIndexed { i, site -> site.engine.stats().accepted > before[i] }.single().engine
     }
 
+    /** Starts one more daemon and waits until it is ready. */
+    fun join(name: String): DaemonUnderTest {
+        val daemon = DaemonUnderTest(startDaemon(name))
+        eventually("$name is ready", 30.seconds) { serves(daemon) }
+        return daemon
+    }
+
+    /** Takes [zone] out of service or brings it back through the first daemon. */
+    fun setZone(
+        zone: ZoneName,
+        out: Boolean,
+    ) {
+        val path = "/v1/zones/$zone/${if (out) "out" else "in"}"
+        val answer = HttpCalls.post(daemons.first().admin, path, "", mapOf("Authorization" to "Bearer $OPERATOR_TOKEN"))
+        check(answer.statusCode() == 200) { answer.body() }
+    }
+
     /** Waits until neither engine holds memory. */
     fun awaitNothingHeld() =
         eventually("no engine holds memory: ${sites.map { it.engine.stats().requests }}", 15.seconds) {
@@ -187,7 +212,7 @@
         OperatorFile(
             format = 1,
             zones = ZONES.map { ZoneEntry(it, REGION) },
-            models = listOf(ModelEntry(ServiceName(MODEL), ModelVersion("1"), engine = EngineLimits(kvTokens = 400_000))),
+            models = listOf(ModelEntry(ServiceName(MODEL), ModelVersion("1"), engine = limits)),
             services = listOf(PlainServiceEntry(ServiceName(SERVICE))),
             accounts =
                 listOf(
