--- a/integration-tests/src/test/kotlin/yuccaferry/integration/EntryDaemonDeathTest.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/EntryDaemonDeathTest.kt
@@ -14,6 +14,7 @@
 
 private const val MANY_PIECES = 50_000
 private const val STREAMS = 4
+private const val NANOS_PER_MILLI = 1_000_000
 
 /** Lease of the dead daemon, grace time of its orphans, and the takeover of its seats. */
 private val RELEASE_BOUND = 15.seconds
@@ -39,8 +40,10 @@
                 }
             }
         eventually("all streams have begun") { begun.get() == STREAMS }
+        val killed = System.nanoTime()
         victim.process.signal(Signal.KILL)
         eventually("the orphans are released", RELEASE_BOUND) { fleet.sites.all { it.engine.stats().kvHeldTokens == 0L } }
+        println("measure=orphan_release_ms value=${(System.nanoTime() - killed) / NANOS_PER_MILLI}")
         calls.map { it.get() }.forEach { assertTrue(!it.complete && it.truePrefix, "$it") }
         eventually("the other daemon serves", RELEASE_BOUND) { Caller(survivor.callers).stream("after the death").whole }
     }
