--- a/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
@@ -9,6 +9,9 @@
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
+import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.Severity
+import yuccaferry.daemon.port.Telemetry
 import yuccaferry.decisions.configuration.ChangeRefusal
 import yuccaferry.decisions.configuration.Member
 import yuccaferry.model.ConfigurationVersion
@@ -87,6 +90,49 @@
             }
     }
 
+    @Nested
+    inner class `an outage of the store` {
+        @Test
+        fun `is logged when it starts and when it ends`() =
+            runTest {
+                val events = mutableListOf<String>()
+                val telemetry =
+                    object : Telemetry by SilentTelemetry {
+                        override fun event(
+                            name: String,
+                            vararg fields: Field,
+                            severity: Severity,
+                        ) {
+                            events += name
+                        }
+                    }
+                val self = Membership(member("one"))
+                val keeper = ConfigurationKeeper(store, { MonotonicTime(currentTime) }, telemetry, peers, { self })
+                store.away = true
+                repeat(3) { keeper.refresh() }
+                store.away = false
+                repeat(3) { keeper.refresh() }
+                assertEquals(listOf("configuration_not_confirmed", "configuration_confirmed_again"), events)
+            }
+    }
+
+    @Nested
+    inner class `a daemon that fetched a version from another` {
+        @Test
+        fun `does not read its value from the store again and yet has it confirmed`() =
+            runTest {
+                val one = keeper("one")
+                val two = keeper("two")
+                one.apply(file(weight = 1), ConfigurationVersion(0), author("x"))
+                one.refresh()
+                two.heard(ConfigurationVersion(1), member("one").address)
+                store.valuesSent = 0
+                assertTrue(two.refresh())
+                assertEquals(ConfigurationVersion(1), two.current.version)
+                assertEquals(0, store.valuesSent)
+            }
+    }
+
     @Nested
     inner class `a change whose answer was lost` {
         @Test
@@ -179,6 +225,18 @@
                 assertEquals(ChangeState.PENDING, spread(one).spread(ConfigurationVersion(1)))
             }
 
+        @Test
+        fun `is pending while a majority of the daemons but not of the roster hold it`() =
+            runTest {
+                val one = keeper("one")
+                keeper("two")
+                one.apply(file(weight = 1), ConfigurationVersion(0), author("x"))
+                one.refresh()
+                val known = Membership(members.first(), members.drop(1), attesters = listOf(members.first(), member("gone"), member("lost")))
+                val spread = ConfigurationSpread(one, peers, { known }, backgroundScope)
+                assertEquals(ChangeState.PENDING, spread.spread(ConfigurationVersion(1)))
+            }
+
         @Test
         fun `never goes down although the store lost its newest`() =
             runTest {
