Stop no request at SIGTERM; report cut answers of plain services; let retries cover the loss of one engine

- Rolling replacement cut 48 of 482 requests.
Cause: Ktor's own shutdown hook stopped the callers' server at SIGTERM, beside the graceful leave.
Ruled out: seats and grants, as the cut streams were those of the leaving daemon alone.
- An answer of a plain service that was cut within a chunk was passed on as 200 with half its body.
Cause: Ktor's CIO engine takes the end of the connection for the end of the body.
- Of 24 streams on a lost engine 5 to 19 failed, as the retry budget of 10 was spent.
It may now run into a debt of one retry for each request in progress, which is paid off before any further retry.
- A failing target is left alone for at most one second, not eight: with a single instance of a service that is a long time without any answer.

--- a/app/src/main/kotlin/yuccaferry/app/Daemon.kt
+++ b/app/src/main/kotlin/yuccaferry/app/Daemon.kt
@@ -87,6 +87,7 @@
     private val store = EtcdKeyValueStore(settings.platform.keyValue, settings.platform.timeoutMillis, storeCalls())
     private val channels = PeerChannels()
     private val targetClient = targetHttpClient()
+    private val serviceClient = HttpServiceClient()
     private val engines = HttpEngineClient(targetClient)
     private val configurationPeers = GrpcConfigurationPeers(channels)
     private val grantPeers = GrpcGrantPeers(channels)
@@ -153,7 +154,7 @@
         )
     private val ledger = BookingLedger(id, store, clock, telemetry, scope)
     private val plainCalls =
-        PlainCallService(access, HttpServiceClient(targetClient), admission, configuration, clock, telemetry, ledger)
+        PlainCallService(access, serviceClient, admission, configuration, clock, telemetry, ledger)
     private val callersApi =
         CallersApi(admission, generations, plainCalls, configuration, clock, settings.limits.bodyBytes)
 
@@ -242,6 +243,7 @@
         scope.cancel()
         channels.close()
         targetClient.close()
+        serviceClient.close()
         telemetry.event("stopped")
         telemetry.close()
     }
--- a/app/src/main/kotlin/yuccaferry/app/Main.kt
+++ b/app/src/main/kotlin/yuccaferry/app/Main.kt
@@ -16,6 +16,9 @@
 
 private const val EXIT_BAD_SETTINGS = 3
 
+/** Ktor's own hook stops servers at once at SIGTERM, before requests in progress have ended. */
+private const val KTOR_SHUTDOWN_HOOK = "io.ktor.server.engine.ShutdownHook"
+
 fun main(args: Array<String>) {
     val parser = ArgParser("yuccaferryd")
     val file by parser.option(ArgType.String, "settings", description = "Settings file (JSON)").required()
@@ -30,6 +33,7 @@
 }
 
 private fun run(settings: DaemonSettings) {
+    System.setProperty(KTOR_SHUTDOWN_HOOK, "false")
     val daemon = Daemon(settings, onDrain = { thread(name = "drain") { exitProcess(0) } })
     val stopped = CountDownLatch(1)
     Runtime.getRuntime().addShutdownHook(
--- a/daemon/src/main/kotlin/yuccaferry/daemon/configuration/ConfigurationSpread.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/configuration/ConfigurationSpread.kt
@@ -31,7 +31,10 @@
     private val scope: CoroutineScope,
     private val settings: ConfigurationSettings = ConfigurationSettings(),
 ) {
-    /** Announces [version] and waits until a majority of each region and of each roster holds it, at most [ConfigurationSettings.acceptMillis]. */
+    /**
+     * Announces [version] and waits until a majority of each region and of each roster holds it,
+     * at most [ConfigurationSettings.acceptMillis].
+     */
     suspend fun spread(version: ConfigurationVersion): ChangeState {
         val known = membership()
         val holders = MutableStateFlow(setOf(known.self.address))
--- a/daemon/src/main/kotlin/yuccaferry/daemon/request/GenerationRun.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/request/GenerationRun.kt
@@ -60,6 +60,7 @@
             span.set("request", request.id.value)
             val refusal = attempts(span) ?: return
             span.fail(refusal.message)
+            reportRefusal(refusal)
             caller.emit(GenerationEvent.Failed(refusal))
         }
     }
@@ -243,6 +244,18 @@
         }
     }
 
+    private fun reportRefusal(refusal: Refusal) =
+        services.telemetry.event(
+            "request_failed",
+            Field("request", request.id),
+            Field("account", request.account.name),
+            Field("model", request.model),
+            Field("code", refusal.code),
+            Field("execution", refusal.execution),
+            Field("message", refusal.message),
+            severity = Severity.WARN,
+        )
+
     private fun reportFailure(
         result: AttemptResult.Broken,
         attempt: Int,
--- a/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
@@ -232,7 +232,8 @@
                 keeper("two")
                 one.apply(file(weight = 1), ConfigurationVersion(0), author("x"))
                 one.refresh()
-                val known = Membership(members.first(), members.drop(1), attesters = listOf(members.first(), member("gone"), member("lost")))
+                val attesters = listOf(members.first(), member("gone"), member("lost"))
+                val known = Membership(members.first(), members.drop(1), attesters)
                 val spread = ConfigurationSpread(one, peers, { known }, backgroundScope)
                 assertEquals(ChangeState.PENDING, spread.spread(ConfigurationVersion(1)))
             }
--- a/decisions/src/main/kotlin/yuccaferry/decisions/grants/TargetBook.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/grants/TargetBook.kt
@@ -16,8 +16,8 @@
 private const val UNLISTED_MILLIS = 5_000L
 
 /** Shortest and longest time without grants after a target failed. */
-private const val FIRST_PAUSE_MILLIS = 250L
-private const val LONGEST_PAUSE_MILLIS = 8_000L
+private const val FIRST_PAUSE_MILLIS = 100L
+private const val LONGEST_PAUSE_MILLIS = 1_000L
 
 /** An observation older than this says nothing about the target. */
 private const val OBSERVATION_MILLIS = 5_000L
--- a/decisions/src/main/kotlin/yuccaferry/decisions/limits/AccountGate.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/limits/AccountGate.kt
@@ -31,7 +31,7 @@
     }
 
     /** Takes one retry from the budget of [account]. */
-    fun takeRetry(account: AccountName): Boolean = budgetOf(account).take()
+    fun takeRetry(account: AccountName): Boolean = budgetOf(account).take(inProgress[account] ?: 0)
 
     private fun budgetOf(account: AccountName) = budgets.getOrPut(account) { RetryBudget() }
 }
--- a/decisions/src/main/kotlin/yuccaferry/decisions/limits/RetryBudget.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/limits/RetryBudget.kt
@@ -21,9 +21,12 @@
         available = minOf(reserve, available + fraction)
     }
 
-    /** Takes one retry; false when the budget is spent. */
-    fun take(): Boolean {
-        if (available < 1.0) return false
+    /**
+     * Takes one retry; false when the budget is spent. While [inProgress] requests are in progress it may run that far
+     * into debt, so that all of them survive the loss of one target; the debt is paid off before any further retry.
+     */
+    fun take(inProgress: Int = 0): Boolean {
+        if (available - 1.0 < -inProgress) return false
         available -= 1.0
         return true
     }
--- a/integration-tests/src/test/kotlin/yuccaferry/integration/AnswerIntegrityTest.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/AnswerIntegrityTest.kt
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.TestInstance
+import java.io.IOException
 import java.util.concurrent.CompletableFuture
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -91,4 +92,20 @@
             assertEquals("", answer.text.toString())
         }
     }
+
+    @Nested
+    inner class `an answer of a plain service` {
+        @Test
+        fun `that is cut short is not passed on as a success`() {
+            fleet.desk.faults("""{"cut_answer":true}""")
+            val headers = mapOf("Authorization" to "Bearer $API_KEY")
+            val status =
+                try {
+                    HttpCalls.get(fleet.daemons.first().callers, "/services/$SERVICE/route", headers).statusCode()
+                } catch (_: IOException) {
+                    null
+                }
+            assertTrue(status != 200, "half an answer was passed on with status $status")
+        }
+    }
 }
