Keep memory for a large ask that has waited long; wait a second for the first target

A prompt that takes nearly all of an engine's memory waited behind every small one, as its class is the least urgent: some of the longest prompts did not end within 40 s under load. One that has waited three seconds now has memory kept for it, and only small work passes it. Two of three crossing prompts over three engines were refused at once after the start of a fleet, which could not be seen again; a missing target is now waited for up to a second.

--- a/daemon/src/main/kotlin/yuccaferry/daemon/grants/SeatTargetAccess.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/grants/SeatTargetAccess.kt
@@ -49,6 +49,9 @@
 /** Wait before the next round when no holder could be asked. */
 private const val ROUND_PAUSE_MILLIS = 50L
 
+/** The instance list and the configuration may lag this far behind each other. */
+private const val NO_TARGET_GRACE_MILLIS = 1_000L
+
 private val RELEASE_RETRY_MILLIS = listOf(200L, 1_000L, 3_000L)
 
 /** Where to send asks, and what this daemon must know to send them. */
@@ -85,7 +88,7 @@
         val account = accountOf(demand) ?: return emptyList()
         return directory.targets
             .filter { it.serves == demand.serves && it.id !in excluded }
-            .filter { directory.inService(it) && directory.serves(it, account) && seats().holderOf(it) != null }
+            .filter { directory.inService(it) && directory.serves(it, account) }
             .sortedBy { board.view(it.id)?.heldTokens ?: Long.MAX_VALUE }
             .map { PartTarget(it, directory.limitsOf(it)?.kvTokens ?: 0) }
     }
@@ -135,7 +138,11 @@
             while (clock.now() < deadline) {
                 val account = accountOf(demand) ?: return Err(AccessRefusal.NoTarget)
                 val ranked = board.rank(demand) { isEligible(it, account) }
-                if (ranked.isEmpty()) return Err(AccessRefusal.NoTarget)
+                if (ranked.isEmpty()) {
+                    if (clock.now() - started > NO_TARGET_GRACE_MILLIS) return Err(AccessRefusal.NoTarget)
+                    delay(ROUND_PAUSE_MILLIS)
+                    continue
+                }
                 val fitting = ranked.filter { fits(it) }
                 if (fitting.isEmpty()) return Err(AccessRefusal.TooLarge(ranked.maxOf { capacity(it) }))
                 val grant = round(fitting)
--- a/decisions/src/main/kotlin/yuccaferry/decisions/grants/TargetBook.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/grants/TargetBook.kt
@@ -9,9 +9,12 @@
 import yuccaferry.model.RequestId
 import yuccaferry.model.TargetId
 
-/** An ask that has waited this long is not overtaken any more by ones that would fit before it. */
+/** An ask that has waited this long is not overtaken any more by large ones that would fit before it. */
 private const val OVERTAKING_MILLIS = 3_000L
 
+/** Work is small when it takes at most this part of a target's memory. */
+private const val SMALL_PARTS = 50
+
 /** A grant that the target does not list this long after it was given has ended. */
 private const val UNLISTED_MILLIS = 5_000L
 
@@ -206,21 +209,37 @@
         return now - last <= OBSERVATION_MILLIS
     }
 
+    /**
+     * Gives what fits: first to asks that have waited long, then in the queue's order. While one that has waited long does
+     * not fit, memory is kept for it: only small work passes it, and only as much as leaves it room.
+     */
     private fun serve(now: MonotonicTime): List<GrantEffect> {
         if (!inService || !isAvailable(now)) return emptyList()
         val given = mutableListOf<GrantEffect>()
-        for (waiting in queue.inOrder()) {
+        val (overdue, others) = queue.inOrder().partition { now - it.since > OVERTAKING_MILLIS }
+        var reserved = 0L
+        for (waiting in overdue.sortedBy { it.since } + others) {
             if (entries.size >= limit.current) break
-            if (fits(waiting.ask)) {
+            if (fits(waiting.ask) && (reserved == 0L || passes(waiting.ask, reserved))) {
                 give(waiting, now)
                 given += GrantEffect.Give(waiting.ask.request)
-            } else if (now - waiting.since > OVERTAKING_MILLIS) {
-                break
+            } else if (reserved == 0L && now - waiting.since > OVERTAKING_MILLIS) {
+                reserved = waiting.ask.holdTokens
             }
         }
         return given
     }
 
+    /** Whether [ask] is small and leaves [reserved] tokens once all work that is not small has ended. */
+    private fun passes(
+        ask: Ask,
+        reserved: Long,
+    ): Boolean {
+        val small = limits.kvTokens / SMALL_PARTS
+        val heldBySmall = entries.values.filter { it.holdTokens <= small }.sumOf { it.holdTokens }
+        return ask.holdTokens <= small && heldBySmall + ask.holdTokens + reserved <= limits.kvTokens
+    }
+
     private fun fits(ask: Ask) =
         limits.kvTokens - heldTokens >= ask.holdTokens &&
             (!ask.long || longPrefills < limits.longPrefills)
--- a/decisions/src/test/kotlin/yuccaferry/decisions/grants/TargetBookTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/grants/TargetBookTest.kt
@@ -167,6 +167,22 @@
             assertEquals(listOf("large0"), gave(book.release(RequestId("b"), UseOutcome.SUCCEEDED, now)))
         }
 
+        @Test
+        fun `keeps memory for a large ask that has waited long, and lets small ones pass`() {
+            observe(warm = true)
+            repeat(10) {
+                submit(ask("warm$it"))
+                book.release(RequestId("warm$it"), UseOutcome.SUCCEEDED, now)
+            }
+            submit(ask("running", hold = 500))
+            submit(ask("large", hold = 900, priority = 20))
+            now += 4_000
+            observe(warm = true, "i1", "running")
+            assertEquals(emptyList(), gave(submit(ask("medium", hold = 300))))
+            assertEquals(listOf("small"), gave(submit(ask("small", hold = 20))))
+            assertEquals(listOf("large"), gave(book.release(RequestId("running"), UseOutcome.SUCCEEDED, now)))
+        }
+
         @Test
         fun `refuses an ask at the end of its wait`() {
             observe(warm = false)
