--- a/adapter-http/src/main/kotlin/yuccaferry/http/callers/RequestBody.kt
+++ b/adapter-http/src/main/kotlin/yuccaferry/http/callers/RequestBody.kt
@@ -13,13 +13,24 @@
 import yuccaferry.model.Refusal
 import yuccaferry.model.RefusalCode
 
-/** Returns the body, or a refusal when it has more than [limitBytes]. */
+/** Returns the body, or a refusal when it has more than [limitBytes] or fewer bytes than its Content-Length says. */
 internal suspend fun ApplicationCall.bodyUpTo(limitBytes: Long): Result<ByteArray, Refusal> {
     val announced = request.contentLength() ?: 0
     if (announced > limitBytes) return tooLarge(limitBytes)
     val body = receiveChannel().readRemaining(limitBytes + 1).readByteArray()
-    return if (body.size > limitBytes) tooLarge(limitBytes) else Ok(body)
+    return when {
+        body.size > limitBytes -> tooLarge(limitBytes)
+        body.size < announced -> cutShort(body.size, announced)
+        else -> Ok(body)
+    }
 }
 
 private fun tooLarge(limitBytes: Long) =
     Err(Refusal(RefusalCode.BODY_TOO_LARGE, "expected a body of at most $limitBytes bytes", Execution.NOT_RUN, repeatable = false))
+
+private fun cutShort(
+    received: Int,
+    announced: Long,
+) = Err(
+    Refusal(RefusalCode.INVALID_REQUEST, "expected a body of $announced bytes but found $received at its end", Execution.NOT_RUN),
+)
--- a/integration-tests/src/test/kotlin/yuccaferry/integration/bookings/BookingFailureTest.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/bookings/BookingFailureTest.kt
@@ -19,7 +19,7 @@
 private const val NANOS_PER_MILLI = 1_000_000
 
 class BookingFailureTest {
-    private val fleet = BookingFleet.shared
+    private val fleet = BookingFleet.shared.apply { heal() }
 
     /** The daemon that is disturbed, and one that goes on. */
     private val first = fleet.awaitReady(holdsSeat = false)
--- a/integration-tests/src/test/kotlin/yuccaferry/integration/bookings/BookingFleet.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/bookings/BookingFleet.kt
@@ -4,6 +4,7 @@
  */
 package yuccaferry.integration.bookings
 
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.unwrap
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.Json
@@ -14,6 +15,7 @@
 import yuccaferry.app.LimitSettings
 import yuccaferry.app.Listener
 import yuccaferry.app.PlatformSettings
+import yuccaferry.daemon.port.StoredValue
 import yuccaferry.decisions.ledger.LedgerKey
 import yuccaferry.http.admin.OperatorToken
 import yuccaferry.integration.HttpCalls
@@ -190,8 +192,16 @@
         return ready.firstOrNull { it.holdsSeat() == holdsSeat } ?: ready.first()
     }
 
-    private fun BookingDaemon.holdsSeat(): Boolean =
-        runBlocking { store.readPrefix("yuccaferry/control/seats/") }.unwrap().values.any { name in it.value }
+    /** Waits for the end of an outage of the store, as a mix of failures may have caused one. */
+    private fun BookingDaemon.holdsSeat(): Boolean {
+        var seats = emptyList<StoredValue>()
+        eventually("the seats can be read", 10.seconds) {
+            val read = runBlocking { store.readPrefix("yuccaferry/control/seats/") }
+            seats = read.get()?.values.orEmpty()
+            read.isOk
+        }
+        return seats.any { name in it.value }
+    }
 
     /** Waits until the record of [key] is in [state]. */
     fun awaitRecord(
--- a/standin/src/main/kotlin/yuccaferry/standin/service/ServiceCommand.kt
+++ b/standin/src/main/kotlin/yuccaferry/standin/service/ServiceCommand.kt
@@ -7,6 +7,7 @@
 import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.contentLength
 import io.ktor.server.request.httpMethod
 import io.ktor.server.request.path
 import io.ktor.server.request.receive
@@ -123,7 +124,8 @@
     call: ApplicationCall,
     runs: ServiceRuns,
 ) {
-    call.receive<ByteArray>()
+    val body = call.receive<ByteArray>()
+    if (body.size < (call.request.contentLength() ?: 0)) return call.closeConnection()
     val faults = runs.takeFaults()
     if (faults.hang) awaitCancellation()
     delay(faults.delayBeforeMs)
