--- a/adapter-peer/src/test/kotlin/yuccaferry/peer/ConfigurationPeerServiceTest.kt
+++ b/adapter-peer/src/test/kotlin/yuccaferry/peer/ConfigurationPeerServiceTest.kt
@@ -9,16 +9,13 @@
 import org.junit.jupiter.api.Nested
 import yuccaferry.daemon.configuration.ConfigurationKeeper
 import yuccaferry.daemon.configuration.Membership
-import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.HeldConfiguration
 import yuccaferry.daemon.port.KeyValueStore
 import yuccaferry.daemon.port.LeaseId
+import yuccaferry.daemon.port.NoTelemetry
 import yuccaferry.daemon.port.PeerError
 import yuccaferry.daemon.port.PrefixSnapshot
-import yuccaferry.daemon.port.Severity
-import yuccaferry.daemon.port.Span
 import yuccaferry.daemon.port.StoreError
-import yuccaferry.daemon.port.Telemetry
 import yuccaferry.decisions.configuration.Member
 import yuccaferry.model.Address
 import yuccaferry.model.Configuration
@@ -45,7 +42,7 @@
     }
 
     private fun keeper() =
-        ConfigurationKeeper(EmptyStore, { MonotonicTime(0) }, Silent, peers, { Membership(Member(Address("self"), RegionName("r"))) })
+        ConfigurationKeeper(EmptyStore, { MonotonicTime(0) }, NoTelemetry, peers, { Membership(Member(Address("self"), RegionName("r"))) })
 
     private fun serve(keeper: ConfigurationKeeper): Address {
         val server = PeerServer("127.0.0.1", 0, listOf(ConfigurationPeerService(keeper).definition()))
@@ -117,34 +114,3 @@
 
     override suspend fun revokeLease(lease: LeaseId) = unused
 }
-
-private object Silent : Telemetry {
-    override fun event(
-        name: String,
-        vararg fields: Field,
-        severity: Severity,
-    ) = Unit
-
-    override fun count(
-        name: String,
-        amount: Double,
-        vararg labels: Field,
-    ) = Unit
-
-    override fun time(
-        name: String,
-        millis: Long,
-        vararg labels: Field,
-    ) = Unit
-
-    override fun gauge(
-        name: String,
-        vararg labels: Field,
-        read: () -> Double,
-    ) = Unit
-
-    override fun span(
-        name: String,
-        parent: String?,
-    ): Span = error("not used")
-}
--- a/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationKeeperTest.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
 import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.NoTelemetry
 import yuccaferry.daemon.port.Severity
 import yuccaferry.daemon.port.Telemetry
 import yuccaferry.decisions.configuration.ChangeRefusal
@@ -39,7 +40,7 @@
         val self = member(address, region)
         members += self
         val membership = { Membership(self, members - self) }
-        val keeper = ConfigurationKeeper(among, { MonotonicTime(currentTime) }, SilentTelemetry, peers, membership, random = Random(2))
+        val keeper = ConfigurationKeeper(among, { MonotonicTime(currentTime) }, NoTelemetry, peers, membership, random = Random(2))
         peers.keepers[self.address] = keeper
         return keeper
     }
@@ -97,7 +98,7 @@
             runTest {
                 val events = mutableListOf<String>()
                 val telemetry =
-                    object : Telemetry by SilentTelemetry {
+                    object : Telemetry by NoTelemetry {
                         override fun event(
                             name: String,
                             vararg fields: Field,
--- a/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationRaceTest.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationRaceTest.kt
@@ -23,6 +23,7 @@
 import kotlinx.coroutines.test.runTest
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
+import yuccaferry.daemon.port.NoTelemetry
 import yuccaferry.model.AttemptId
 import yuccaferry.model.Configuration
 import yuccaferry.model.ConfigurationVersion
@@ -179,7 +180,7 @@
         val self = members.first { it.address.value == address }
         val membership = Membership(self, members - self)
         val clock = { MonotonicTime(scope.currentTime) }
-        val keeper = ConfigurationKeeper(store, clock, SilentTelemetry, peers, { membership }, random = random)
+        val keeper = ConfigurationKeeper(store, clock, NoTelemetry, peers, { membership }, random = random)
         peers.keepers[self.address] = keeper
         return keeper
     }
--- a/daemon/src/test/kotlin/yuccaferry/daemon/configuration/Fakes.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/Fakes.kt
@@ -6,12 +6,8 @@
 import com.github.michaelbull.result.Result
 import kotlinx.serialization.json.Json
 import yuccaferry.daemon.port.ConfigurationPeers
-import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.HeldConfiguration
 import yuccaferry.daemon.port.PeerError
-import yuccaferry.daemon.port.Severity
-import yuccaferry.daemon.port.Span
-import yuccaferry.daemon.port.Telemetry
 import yuccaferry.decisions.configuration.ChangeAuthor
 import yuccaferry.decisions.configuration.Member
 import yuccaferry.model.Address
@@ -62,34 +58,3 @@
 
     private fun reach(peer: Address) = keepers[peer]?.takeIf { peer !in cut }
 }
-
-internal object SilentTelemetry : Telemetry {
-    override fun event(
-        name: String,
-        vararg fields: Field,
-        severity: Severity,
-    ) = Unit
-
-    override fun count(
-        name: String,
-        amount: Double,
-        vararg labels: Field,
-    ) = Unit
-
-    override fun time(
-        name: String,
-        millis: Long,
-        vararg labels: Field,
-    ) = Unit
-
-    override fun gauge(
-        name: String,
-        vararg labels: Field,
-        read: () -> Double,
-    ) = Unit
-
-    override fun span(
-        name: String,
-        parent: String?,
-    ): Span = error("not used")
-}
--- a/daemon/src/test/kotlin/yuccaferry/daemon/control/ControlFleet.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/control/ControlFleet.kt
@@ -9,11 +9,10 @@
 import kotlinx.coroutines.delay
 import yuccaferry.daemon.port.Clock
 import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.NoTelemetry
 import yuccaferry.daemon.port.PeerError
 import yuccaferry.daemon.port.SeatPeerHandler
 import yuccaferry.daemon.port.SeatPeers
-import yuccaferry.daemon.port.Severity
-import yuccaferry.daemon.port.Span
 import yuccaferry.daemon.port.Telemetry
 import yuccaferry.decisions.seats.AttestationRequest
 import yuccaferry.decisions.seats.DaemonRecord
@@ -124,13 +123,7 @@
 
 internal class CountingTelemetry(
     private val counts: HashMap<String, Double>,
-) : Telemetry {
-    override fun event(
-        name: String,
-        vararg fields: Field,
-        severity: Severity,
-    ) = Unit
-
+) : Telemetry by NoTelemetry {
     override fun count(
         name: String,
         amount: Double,
@@ -139,20 +132,9 @@
         counts.merge("$name ${labels.joinToString(" ") { it.value.toString() }}", amount, Double::plus)
     }
 
-    override fun time(
-        name: String,
-        millis: Long,
-        vararg labels: Field,
-    ) = Unit
-
     override fun gauge(
         name: String,
         vararg labels: Field,
         read: () -> Double,
     ) = Unit
-
-    override fun span(
-        name: String,
-        parent: String?,
-    ): Span = error("not used")
 }
--- a/daemon/src/test/kotlin/yuccaferry/daemon/ledger/TestFleet.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/ledger/TestFleet.kt
@@ -18,9 +18,8 @@
 import kotlinx.coroutines.test.TestScope
 import yuccaferry.daemon.port.Clock
 import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.NoTelemetry
 import yuccaferry.daemon.port.ServiceAnswer
-import yuccaferry.daemon.port.Severity
-import yuccaferry.daemon.port.Span
 import yuccaferry.daemon.port.Telemetry
 import yuccaferry.decisions.ledger.BookingRecord
 import yuccaferry.decisions.ledger.Fingerprint
@@ -62,7 +61,7 @@
     ) = (delegate as Delay).invokeOnTimeout(timeMillis, { if (frozen) held += block else block.run() }, context)
 }
 
-internal class TestTelemetry : Telemetry {
+internal class TestTelemetry : Telemetry by NoTelemetry {
     val counts = mutableMapOf<String, Int>()
 
     override fun count(
@@ -73,28 +72,11 @@
         counts.merge("$name ${labels.joinToString { "${it.value}" }}", amount.toInt(), Int::plus)
     }
 
-    override fun event(
-        name: String,
-        vararg fields: Field,
-        severity: Severity,
-    ) = Unit
-
-    override fun time(
-        name: String,
-        millis: Long,
-        vararg labels: Field,
-    ) = Unit
-
     override fun gauge(
         name: String,
         vararg labels: Field,
         read: () -> Double,
     ) = Unit
-
-    override fun span(
-        name: String,
-        parent: String?,
-    ): Span = error("not used by the ledger")
 }
 
 internal class TestDaemon(
