--- a/daemon/src/main/kotlin/yuccaferry/daemon/port/TargetAccess.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/port/TargetAccess.kt
@@ -48,11 +48,6 @@
     data class TooLarge(
         val kvTokens: Long,
     ) : AccessRefusal
-
-    /** This daemon can't confirm that its configuration and seats are current. */
-    data class NotConfirmed(
-        val reason: String,
-    ) : AccessRefusal
 }
 
 /** Grants the right to use targets. */
--- a/daemon/src/main/kotlin/yuccaferry/daemon/request/AccessRefusals.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/request/AccessRefusals.kt
@@ -25,8 +25,4 @@
                 repeatable = false,
             )
         }
-
-        is AccessRefusal.NotConfirmed -> {
-            Refusal(RefusalCode.NOT_READY, refusal.reason, Execution.NOT_RUN, retryAfterSeconds = 1)
-        }
     }
--- a/decisions/src/main/kotlin/yuccaferry/decisions/grants/TargetBook.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/grants/TargetBook.kt
@@ -188,9 +188,6 @@
         }
     }
 
-    /** Owners of the work that holds a part of the target. */
-    fun owners(): Set<DaemonId> = entries.values.map { it.owner }.toSet()
-
     private fun denialOf(
         ask: Ask,
         now: MonotonicTime,
