--- /dev/null
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -0,0 +1,133 @@
+/*
+ * Places prompts on engines. Long prompts delay every request that writes on the same engine, so short prompts are packed
+ * on engines from the start of a common order and long prompts take the emptiest engines from its end.
+ */
+package yuccaferry.decisions.dispatch
+
+/**
+ * Where a prompt is read.
+ *
+ * @property main engine that receives the request and writes the answer.
+ * @property helpers engines that read parts of the prompt, in order.
+ */
+data class StreamPlan(
+    val main: TargetLoad,
+    val helpers: List<TargetLoad>,
+    val predictedMillis: Double,
+)
+
+/**
+ * A prompt to place.
+ *
+ * @property promptTokens tokens of the prompt.
+ * @property totalTokens tokens of prompt and answer.
+ * @property aimMillis time to the first event that is on time.
+ */
+data class Prompt(
+    val promptTokens: Long,
+    val totalTokens: Long,
+    val aimMillis: Long,
+)
+
+/** Places prompts by the predicted times of [model]. */
+class StreamPlacement(
+    private val model: EngineModel,
+) {
+    /** Whether [tokens] delay the other requests of an engine noticeably. */
+    fun isLong(tokens: Long): Boolean = model.readMillis(tokens) > LONG_READ_MILLIS
+
+    /** The plan for [prompt] over [engines], which all daemons list in the same order; null when there are none. */
+    fun place(
+        prompt: Prompt,
+        engines: List<TargetLoad>,
+    ): StreamPlan? {
+        if (engines.isEmpty()) return null
+        return if (isLong(prompt.promptTokens)) placeLong(prompt, engines) else placeShort(prompt, engines)
+    }
+
+    private fun placeShort(
+        prompt: Prompt,
+        engines: List<TargetLoad>,
+    ): StreamPlan {
+        var best = engines.first()
+        var bestCost = Double.MAX_VALUE
+        for ((index, engine) in engines.withIndex()) {
+            val cost = shortCost(engine) + index * ORDER_MILLIS
+            if (cost < bestCost) {
+                best = engine
+                bestCost = cost
+            }
+        }
+        return StreamPlan(best, emptyList(), predicted(prompt, best, parts = 1))
+    }
+
+    private fun shortCost(engine: TargetLoad): Double {
+        val packed = (engine.slots * PACKED_SHARE).toInt()
+        val crowding = if (engine.active >= packed) (engine.active - packed + 1) * CROWDED_MILLIS else 0.0
+        val full = if (engine.active >= engine.slots) FULL_MILLIS else 0.0
+        return engine.readingMillis + engine.longRequests * BESIDE_LONG_MILLIS + crowding + full + engine.penaltyMillis
+    }
+
+    private fun placeLong(
+        prompt: Prompt,
+        engines: List<TargetLoad>,
+    ): StreamPlan {
+        val ranked =
+            engines
+                .mapIndexed { index, engine -> engine to longCost(engine, prompt) - index * ORDER_MILLIS }
+                .sortedBy { it.second }
+                .map { it.first }
+        val usable = ranked.takeWhile { it.readingMillis <= BUSY_READ_MILLIS && it.active < it.slots }
+        val wanted = model.partsFor(prompt.promptTokens, prompt.aimMillis * READ_SHARE_OF_AIM, most = MAX_PARTS)
+        val parts = wanted.coerceIn(1, maxOf(1, usable.size))
+        val main = ranked.first()
+        return StreamPlan(main, ranked.subList(1, parts), predicted(prompt, main, parts))
+    }
+
+    private fun longCost(
+        engine: TargetLoad,
+        prompt: Prompt,
+    ): Double {
+        val full = if (engine.active >= engine.slots) FULL_MILLIS else 0.0
+        val overMemory = if (engine.heldTokens + prompt.totalTokens > model.figures.memoryTokens) FULL_MILLIS else 0.0
+        return engine.readingMillis + engine.active * HARMED_WRITER_MILLIS + full + overMemory + engine.penaltyMillis
+    }
+
+    private fun predicted(
+        prompt: Prompt,
+        engine: TargetLoad,
+        parts: Int,
+    ): Double = engine.readingMillis + model.readMillis(prompt.promptTokens, parts) + model.passMillis(engine.active, engine.heldTokens)
+
+    private companion object {
+        /** Read time in ms above which writers beside the prompt would pause noticeably; half the shortest pause aim in use. */
+        const val LONG_READ_MILLIS = 120.0
+
+        /** Cost in ms of each position in the common order; breaks ties the same way on every daemon. */
+        const val ORDER_MILLIS = 0.1
+
+        /** Share of an engine's slots that short prompts fill before the next engine is used. */
+        const val PACKED_SHARE = 0.6
+
+        /** Cost in ms of each request beyond the packed share. */
+        const val CROWDED_MILLIS = 8.0
+
+        /** Cost in ms of joining an engine that has no free slot. */
+        const val FULL_MILLIS = 2_000.0
+
+        /** Cost in ms of joining an engine on which a long request reads or writes. */
+        const val BESIDE_LONG_MILLIS = 60.0
+
+        /** Cost in ms, for a long prompt, of each request that it would delay. */
+        const val HARMED_WRITER_MILLIS = 250.0
+
+        /** Engines whose prompts take longer than this many ms help no other prompt. */
+        const val BUSY_READ_MILLIS = 400.0
+
+        /** Share of the aim that reading a long prompt may take. */
+        const val READ_SHARE_OF_AIM = 0.5
+
+        /** Most engines that read one prompt: the one that writes and 16 helpers is the interface's limit. */
+        const val MAX_PARTS = 8
+    }
+}
--- /dev/null
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
@@ -0,0 +1,67 @@
+// `yuccaferry-gateway`: one daemon of the forwarding path.
+package yuccaferry.gateway.app
+
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import sun.misc.Signal
+import yuccaferry.daemon.port.Field
+import yuccaferry.gateway.GatewayDaemon
+import yuccaferry.gateway.net.EventLoop
+import yuccaferry.gateway.view.FleetView
+import yuccaferry.model.ZoneName
+import yuccaferry.platform.PlatformAdapter
+import yuccaferry.platform.PlatformHeaders
+import yuccaferry.platform.parseAddress
+import java.lang.management.ManagementFactory
+import java.net.InetSocketAddress
+import java.nio.file.Path
+import kotlin.random.Random
+import kotlin.system.exitProcess
+
+private const val SETTINGS_VARIABLE = "YUCCAFERRY_NODE_FILE"
+private const val EXIT_USAGE = 2
+
+fun main(arguments: Array<String>) {
+    val path = arguments.firstOrNull() ?: System.getenv(SETTINGS_VARIABLE)
+    if (path == null) {
+        System.err.println("usage: yuccaferry-gateway SETTINGS, or the path in $SETTINGS_VARIABLE")
+        exitProcess(EXIT_USAGE)
+    }
+    val settings = GatewaySettings.read(Path.of(path))
+    val telemetry = ConsoleTelemetry(settings.name)
+    val random = Random(System.nanoTime())
+    val loop = EventLoop()
+    val fleet = FleetView(telemetry)
+    val daemon =
+        GatewayDaemon(loop, settings.name, ZoneName(settings.zone), fleet, PlatformHeaders(), { settings.limits }, telemetry, random)
+    val peerAddress = InetSocketAddress(settings.host, settings.internalPorts.first())
+    val platform =
+        PlatformAdapter(
+            loop,
+            address("store", settings.store),
+            settings.name,
+            "${settings.host}:${peerAddress.port}",
+            fleet,
+            daemon.peers,
+            telemetry,
+            random,
+        )
+    runBlocking(loop.scope.coroutineContext) {
+        daemon.listen(address("callers", settings.callers), address("readiness", settings.readiness))
+        daemon.peers.open(peerAddress)
+        platform.start()
+    }
+    telemetry.event("started", Field("after_ms", System.currentTimeMillis() - ManagementFactory.getRuntimeMXBean().startTime))
+    Signal.handle(Signal("TERM")) {
+        loop.scope.launch {
+            platform.leave()
+            daemon.leave()
+            Runtime.getRuntime().halt(0)
+        }
+    }
+}
+
+private fun address(
+    field: String,
+    text: String,
+): InetSocketAddress = requireNotNull(parseAddress(text)) { "settings: $field: expected a.b.c.d:port, found $text" }
--- /dev/null
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/CallerConnection.kt
@@ -0,0 +1,181 @@
+// One caller's connection: collects requests, runs the handler for each in order, and bounds how long a caller may take.
+package yuccaferry.gateway.net
+
+import io.netty.buffer.ByteBufUtil
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+import io.netty.util.ReferenceCountUtil
+import io.netty.util.concurrent.ScheduledFuture
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import yuccaferry.decisions.routing.CallerLimits
+import java.io.ByteArrayOutputStream
+import java.util.concurrent.TimeUnit
+
+internal class CallerConnection(
+    private val loop: EventLoop,
+    private val channel: Channel,
+    private val limits: () -> CallerLimits,
+    private val isLeaving: () -> Boolean,
+    private val handler: RequestHandler,
+) : ChannelInboundHandlerAdapter() {
+    private var head: HttpRequest? = null
+    private val body = ByteArrayOutputStream()
+    private val waiting = ArrayDeque<Pending>()
+    private var running: Job? = null
+    private var refused = false
+    private var timer: ScheduledFuture<*>? = null
+
+    val isBusy: Boolean get() = running != null || waiting.isNotEmpty() || head != null
+
+    fun close() {
+        channel.close()
+    }
+
+    override fun channelActive(context: ChannelHandlerContext) {
+        armTimer(limits().idleTimeoutMillis + IDLE_GRACE_MILLIS) { close() }
+        context.fireChannelActive()
+    }
+
+    override fun channelRead(
+        context: ChannelHandlerContext,
+        message: Any,
+    ) {
+        try {
+            if (!refused) read(message as HttpObject)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun read(part: HttpObject) {
+        if (part.decoderResult().isFailure) {
+            refuse(if (part.decoderResult().cause().isTooLong()) STATUS_HEAD_TOO_LARGE else STATUS_BAD_REQUEST)
+            return
+        }
+        if (part is HttpRequest) begin(part)
+        if (part is HttpContent && head != null && !refused) append(part)
+    }
+
+    private fun begin(request: HttpRequest) {
+        head = request
+        body.reset()
+        val current = limits()
+        when {
+            HttpUtil.getContentLength(request, 0L) > current.bodyBytes -> {
+                refuse(STATUS_BODY_TOO_LARGE)
+            }
+
+            HttpUtil.is100ContinueExpected(request) -> {
+                CallerReply(channel, mayKeepOpen = true).continueRequest()
+                armTimer(current.headerTimeoutMillis + current.idleTimeoutMillis) { refuse(STATUS_REQUEST_TIMEOUT) }
+            }
+
+            else -> {
+                armTimer(current.headerTimeoutMillis + current.idleTimeoutMillis) { refuse(STATUS_REQUEST_TIMEOUT) }
+            }
+        }
+    }
+
+    private fun append(part: HttpContent) {
+        body.writeBytes(ByteBufUtil.getBytes(part.content()))
+        if (body.size() > limits().bodyBytes) {
+            refuse(STATUS_BODY_TOO_LARGE)
+            return
+        }
+        if (part !is LastHttpContent) return
+        val request = checkNotNull(head)
+        head = null
+        timer?.cancel(false)
+        val whole = IncomingRequest(request.method().name(), request.uri(), request.headers(), body.toByteArray())
+        waiting.addLast(Pending(whole, HttpUtil.isKeepAlive(request)))
+        body.reset()
+        runNext()
+    }
+
+    private fun runNext() {
+        if (running != null || !channel.isActive) return
+        val next = waiting.removeFirstOrNull() ?: return
+        val reply = CallerReply(channel, mayKeepOpen = next.keepAlive, isLeaving = isLeaving)
+        val job = loop.scope.launch(start = CoroutineStart.LAZY) { handler.handle(next.request, reply) }
+        running = job
+        job.invokeOnCompletion { loop.group.next().execute { ended(reply) } }
+        job.start()
+    }
+
+    private fun ended(reply: CallerReply) {
+        running = null
+        if (!reply.isComplete || !reply.keepsOpen) {
+            reply.closeAfterAnswer()
+            return
+        }
+        if (head == null) armTimer(limits().idleTimeoutMillis + IDLE_GRACE_MILLIS) { close() }
+        runNext()
+    }
+
+    private fun refuse(status: Int) {
+        refused = true
+        head = null
+        timer?.cancel(false)
+        val reply = CallerReply(channel, mayKeepOpen = false)
+        reply.whole(status, emptyList(), ByteArray(0))
+        // Closing with unread bytes would reset the connection and could destroy the answer on its way.
+        channel.eventLoop().schedule(Runnable { close() }, LINGER_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        timer?.cancel(false)
+        waiting.clear()
+        running?.cancel()
+    }
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        if (channel.isWritable) CallerReply.wakeWriter(channel)
+        context.fireChannelWritabilityChanged()
+    }
+
+    @Deprecated("Netty's own signature")
+    override fun exceptionCaught(
+        context: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        context.close()
+    }
+
+    private fun armTimer(
+        millis: Long,
+        action: () -> Unit,
+    ) {
+        timer?.cancel(false)
+        timer = channel.eventLoop().schedule(Runnable { if (running == null) action() }, millis, TimeUnit.MILLISECONDS)
+    }
+
+    private class Pending(
+        val request: IncomingRequest,
+        val keepAlive: Boolean,
+    )
+
+    private companion object {
+        /** Additional ms before an idle connection is closed: covers a request that is on its way. */
+        const val IDLE_GRACE_MILLIS = 2_000L
+
+        /** Milliseconds for which the rest of a refused request is read and dropped. */
+        const val LINGER_MILLIS = 1_000L
+
+        const val STATUS_BAD_REQUEST = 400
+        const val STATUS_REQUEST_TIMEOUT = 408
+        const val STATUS_BODY_TOO_LARGE = 413
+        const val STATUS_HEAD_TOO_LARGE = 431
+    }
+}
+
+private fun Throwable?.isTooLong(): Boolean = this is TooLongHttpHeaderException || this is TooLongHttpLineException
--- /dev/null
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/CallerReply.kt
@@ -0,0 +1,112 @@
+// Writes the answer to one request.
+package yuccaferry.gateway.net
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.AttributeKey
+import kotlinx.coroutines.CompletableDeferred
+
+/** One header. */
+data class Header(
+    val name: String,
+    val value: String,
+)
+
+/** The answer to one request: either [whole], or [start], [piece] and [finish]. */
+class CallerReply internal constructor(
+    private val channel: Channel,
+    private val mayKeepOpen: Boolean,
+    private val isLeaving: () -> Boolean = { false },
+) {
+    /** Whether the status has been sent. */
+    var isStarted = false
+        private set
+
+    /** Whether the whole answer has been handed to the connection. */
+    var isComplete = false
+        private set
+
+    internal var keepsOpen = false
+        private set
+
+    /** Sends a whole answer. */
+    fun whole(
+        status: Int,
+        headers: List<Header>,
+        body: ByteArray,
+    ) {
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body))
+        fill(response, headers)
+        if (!response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        }
+        isComplete = true
+        channel.writeAndFlush(response)
+    }
+
+    /** Sends the head of an answer whose length is not known yet. */
+    fun start(
+        status: Int,
+        headers: List<Header>,
+    ) {
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+        fill(response, headers)
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        channel.write(response)
+    }
+
+    /** Sends [bytes] of the body and waits until the caller keeps up. */
+    suspend fun piece(bytes: ByteArray) {
+        channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+        if (!channel.isWritable) awaitWritable()
+    }
+
+    /** Ends the body. */
+    fun finish() {
+        isComplete = true
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+    }
+
+    internal fun continueRequest() {
+        channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
+    }
+
+    internal fun closeAfterAnswer() {
+        if (isComplete) channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE) else channel.close()
+    }
+
+    private fun fill(
+        response: HttpResponse,
+        headers: List<Header>,
+    ) {
+        isStarted = true
+        headers.forEach { response.headers().add(it.name, it.value) }
+        keepsOpen = mayKeepOpen && !isLeaving()
+        if (!keepsOpen) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+    }
+
+    private suspend fun awaitWritable() {
+        val signal = CompletableDeferred<Unit>()
+        channel.attr(WRITABLE).set(signal)
+        if (!channel.isWritable) signal.await()
+    }
+
+    internal companion object {
+        private val WRITABLE = AttributeKey.valueOf<CompletableDeferred<Unit>>("writable")
+
+        /** Wakes the writer that waits until [channel] takes more. */
+        fun wakeWriter(channel: Channel) {
+            channel.attr(WRITABLE).getAndSet(null)?.complete(Unit)
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/EventLoop.kt
@@ -0,0 +1,24 @@
+// The one thread on which a gateway does its I/O and runs its coroutines, so that its state needs no locks.
+package yuccaferry.gateway.net
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import yuccaferry.model.MonotonicTime
+
+/** A single-threaded event loop; all other types of this package are confined to it. */
+class EventLoop {
+    internal val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+
+    /** Coroutines of this scope run on the event loop's thread. */
+    val scope = CoroutineScope(SupervisorJob() + group.next().asCoroutineDispatcher())
+
+    /** The monotonic clock. */
+    fun now() = MonotonicTime(System.nanoTime() / NANOS_PER_MILLI)
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/ServerConnection.kt
@@ -0,0 +1,174 @@
+// A client's side of one HTTP/1.1 connection, to a target or to the platform.
+package yuccaferry.gateway.net
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.channels.ClosedReceiveChannelException
+import java.net.InetSocketAddress
+import kotlinx.coroutines.channels.Channel as Mailbox
+
+/** A request as it goes on the wire. The `Host` header is the caller's to set. */
+class OutgoingRequest(
+    val method: String,
+    val uri: String,
+    val headers: HttpHeaders,
+    val body: ByteArray,
+)
+
+/** One open connection. Requests are sent one at a time. */
+class ServerConnection internal constructor(
+    private val channel: Channel,
+    private val inbox: Mailbox<ServerReply>,
+) {
+    /** Whether the connection still stands, as far as this side has heard. */
+    val isOpen: Boolean get() = channel.isActive
+
+    /** Sends [request]; its reply comes from [receive]. */
+    fun send(request: OutgoingRequest) {
+        val message =
+            DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(request.method),
+                request.uri,
+                Unpooled.wrappedBuffer(request.body),
+                request.headers,
+                EmptyHttpHeaders.INSTANCE,
+            )
+        channel.writeAndFlush(message)
+    }
+
+    /** The next part of the reply. Bytes that nothing was asked for are [ServerReply.Broken]. */
+    suspend fun receive(): ServerReply {
+        try {
+            return inbox.receive()
+        } catch (closed: ClosedReceiveChannelException) {
+            return ServerReply.Broken("closed")
+        }
+    }
+
+    /** Closes the connection; the server sees that its work is not wanted any more. */
+    fun close() {
+        channel.close()
+    }
+}
+
+/** Opens connections on [loop]. */
+class ServerConnector(
+    private val loop: EventLoop,
+) {
+    /** A connection to [address], or null when none stands within [timeoutMillis] milliseconds. */
+    suspend fun connect(
+        address: InetSocketAddress,
+        timeoutMillis: Long,
+    ): ServerConnection? {
+        val inbox = Mailbox<ServerReply>(Mailbox.UNLIMITED)
+        val future =
+            Bootstrap()
+                .group(loop.group)
+                .channel(NioSocketChannel::class.java)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis.toInt().coerceAtLeast(1))
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .handler(Pipeline(inbox))
+                .connect(address)
+        try {
+            if (future.awaitFailure() != null) return null
+        } catch (cancelled: CancellationException) {
+            future.channel().close()
+            throw cancelled
+        }
+        return ServerConnection(future.channel(), inbox)
+    }
+
+    private class Pipeline(
+        private val inbox: Mailbox<ServerReply>,
+    ) : ChannelInitializer<Channel>() {
+        override fun initChannel(channel: Channel) {
+            channel.pipeline().addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+            channel.pipeline().addLast(ReplyReader(inbox))
+        }
+    }
+
+    private companion object {
+        /** Bytes of the longest status line accepted. */
+        const val MAX_LINE_BYTES = 4_096
+
+        /** Bytes of the largest head accepted. */
+        const val MAX_HEADER_BYTES = 32_768
+
+        /** Bytes of the largest piece handed on at once. */
+        const val MAX_CHUNK_BYTES = 65_536
+    }
+}
+
+private class ReplyReader(
+    private val inbox: Mailbox<ServerReply>,
+) : ChannelInboundHandlerAdapter() {
+    private var informational = false
+
+    override fun channelRead(
+        context: ChannelHandlerContext,
+        message: Any,
+    ) {
+        try {
+            val part = message as HttpObject
+            if (part.decoderResult().isFailure) {
+                end(context, "invalid response: ${part.decoderResult().cause()?.javaClass?.simpleName}")
+                return
+            }
+            if (part is HttpResponse) readHead(part)
+            if (part is HttpContent && !informational) readContent(part)
+            if (part is LastHttpContent) informational = false
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun readHead(head: HttpResponse) {
+        val status: HttpResponseStatus = head.status()
+        informational = status.codeClass() == HttpStatusClass.INFORMATIONAL
+        if (!informational) inbox.trySend(ServerReply.Head(status.code(), status.reasonPhrase(), head.headers()))
+    }
+
+    private fun readContent(part: HttpContent) {
+        if (part.content().isReadable) inbox.trySend(ServerReply.Piece(ByteBufUtil.getBytes(part.content())))
+        if (part is LastHttpContent) inbox.trySend(ServerReply.End)
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) = end(context, "closed")
+
+    @Deprecated("Netty's own signature")
+    override fun exceptionCaught(
+        context: ChannelHandlerContext,
+        cause: Throwable,
+    ) = end(context, cause.message ?: cause.javaClass.simpleName)
+
+    private fun end(
+        context: ChannelHandlerContext,
+        reason: String,
+    ) {
+        if (inbox.trySend(ServerReply.Broken(reason)).isSuccess) inbox.close()
+        context.close()
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/Gateway.kt
@@ -0,0 +1,119 @@
+// The path of every request: what the configuration allows is forwarded, everything else is refused at once.
+package yuccaferry.gateway.request
+
+import kotlinx.coroutines.CancellationException
+import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.Severity
+import yuccaferry.daemon.port.Telemetry
+import yuccaferry.decisions.routing.Account
+import yuccaferry.decisions.routing.RequestKind
+import yuccaferry.decisions.routing.Route
+import yuccaferry.decisions.routing.RoutingConfiguration
+import yuccaferry.gateway.net.CallerReply
+import yuccaferry.gateway.net.EventLoop
+import yuccaferry.gateway.net.IncomingRequest
+import yuccaferry.gateway.net.RequestHandler
+import yuccaferry.gateway.port.RequestFormat
+import yuccaferry.gateway.port.RequestHead
+import yuccaferry.gateway.view.FleetView
+import kotlin.random.Random
+
+/** Answers callers' requests. */
+internal class Gateway(
+    private val loop: EventLoop,
+    private val fleet: FleetView,
+    private val format: RequestFormat,
+    private val calls: CallForwarder,
+    private val streams: StreamForwarder,
+    private val telemetry: Telemetry,
+    private val random: Random,
+) : RequestHandler {
+    override suspend fun handle(
+        request: IncomingRequest,
+        reply: CallerReply,
+    ) {
+        val arrival = loop.now()
+        val head = format.readRequest(request)
+        var outcome = "caller_left"
+        try {
+            outcome = answer(request, head, reply)
+        } catch (left: CancellationException) {
+            throw left
+        } catch (defect: Exception) {
+            outcome = "defect"
+            val where = defect.stackTrace.firstOrNull()
+            telemetry.event("defect", Field("request", head.id), Field("error", defect), Field("at", where), severity = Severity.ERROR)
+            if (!reply.isStarted) format.refuse(reply, head.id, STATUS_BAD_GATEWAY)
+        } finally {
+            val millis = loop.now() - arrival
+            telemetry.event("request_ended", Field("request", head.id), Field("outcome", outcome), Field("ms", millis))
+            telemetry.time("yuccaferry_request_duration", millis, Field("outcome", outcome.substringBefore(':')))
+        }
+    }
+
+    private suspend fun answer(
+        request: IncomingRequest,
+        head: RequestHead,
+        reply: CallerReply,
+    ): String {
+        val configuration = fleet.configuration
+        if (configuration == null || !fleet.hasTargets) {
+            format.refuse(reply, head.id, STATUS_UNAVAILABLE, START_RETRY_MILLIS)
+            return "not_ready"
+        }
+        val route = configuration.routes.find(head.host, request.uri)
+        val account = head.key?.let { configuration.accounts.holding(it) }
+        val status = refusalOf(configuration, head, route, account)
+        if (route == null || status != null) {
+            format.refuse(reply, head.id, status ?: STATUS_NOT_FOUND)
+            return "refused:$status:configuration_${configuration.version}"
+        }
+        return forward(request, head, route, account, configuration, reply)
+    }
+
+    private fun refusalOf(
+        configuration: RoutingConfiguration,
+        head: RequestHead,
+        route: Route?,
+        account: Account?,
+    ): Int? =
+        when {
+            head.id == null -> STATUS_BAD_REQUEST
+            route == null -> STATUS_NOT_FOUND
+            configuration.accounts.areRequired && !route.isPublic && account == null -> STATUS_UNAUTHORIZED
+            else -> null
+        }
+
+    private suspend fun forward(
+        request: IncomingRequest,
+        head: RequestHead,
+        route: Route,
+        account: Account?,
+        configuration: RoutingConfiguration,
+        reply: CallerReply,
+    ): String {
+        val service = configuration.services[route.serviceAt(random.nextDouble())]
+        if (service == null) {
+            format.refuse(reply, head.id, STATUS_UNAVAILABLE, START_RETRY_MILLIS)
+            return "no_service"
+        }
+        val now = loop.now()
+        val patience = minOf(head.remainingMillis ?: route.timeoutMillis, route.timeoutMillis)
+        val admitted = AdmittedRequest(request, head, route, service, account, configuration.version, now, now + patience)
+        return when (route.kind) {
+            RequestKind.Safe, RequestKind.Unsafe -> calls.forward(admitted, reply)
+            is RequestKind.Stream -> streams.forward(admitted, route.kind as RequestKind.Stream, reply)
+        }
+    }
+
+    private companion object {
+        const val STATUS_BAD_REQUEST = 400
+        const val STATUS_UNAUTHORIZED = 401
+        const val STATUS_NOT_FOUND = 404
+        const val STATUS_BAD_GATEWAY = 502
+        const val STATUS_UNAVAILABLE = 503
+
+        /** Milliseconds after which a caller may come back to a daemon that has just started: one store call and its retry. */
+        const val START_RETRY_MILLIS = 300L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -0,0 +1,185 @@
+// One attempt to stream an answer from one target, possibly with others that read parts of the prompt.
+package yuccaferry.gateway.request
+
+import kotlinx.coroutines.withTimeoutOrNull
+import yuccaferry.decisions.dispatch.EngineModel
+import yuccaferry.decisions.dispatch.StreamPlacement
+import yuccaferry.decisions.forward.AttemptEnd
+import yuccaferry.decisions.routing.EngineFigures
+import yuccaferry.gateway.net.CallerReply
+import yuccaferry.gateway.net.EventLoop
+import yuccaferry.gateway.net.ServerConnection
+import yuccaferry.gateway.net.ServerConnector
+import yuccaferry.gateway.net.ServerReply
+import yuccaferry.gateway.peers.Work
+import yuccaferry.gateway.peers.WorkBoard
+import yuccaferry.gateway.port.Helper
+import yuccaferry.gateway.port.RequestFormat
+import yuccaferry.gateway.port.SendDetails
+import yuccaferry.gateway.view.Target
+
+/** One attempt; used once. */
+internal class StreamAttempt(
+    private val loop: EventLoop,
+    private val connector: ServerConnector,
+    private val format: RequestFormat,
+    private val selector: TargetSelector,
+    private val board: WorkBoard,
+    private val request: AdmittedRequest,
+    private val placement: Placement,
+    figures: EngineFigures,
+    private val progress: StreamProgress,
+    private val reply: CallerReply,
+) {
+    private val model = EngineModel(figures)
+    private val splitter = EventSplitter()
+    private var resumedAt = progress.lastEvent
+    private var isFirst = true
+    private val mainWork: Work
+    private val helperWork: List<Work>
+
+    /** The target at fault when it isn't the main one. */
+    var blamed: Target? = null
+        private set
+
+    init {
+        val parts = placement.helpers.size + 1
+        val tokens = request.head.promptTokens
+        val isLong = StreamPlacement(model).isLong(tokens)
+        val read = model.readMillis(tokens, parts)
+        mainWork = Work(placement.main.id, tokens + request.head.answerTokens, isLong, read, loop.now())
+        helperWork = placement.helpers.map { Work(it.id, tokens / parts, isLong, read, loop.now()) }
+    }
+
+    /** Runs the attempt; with [mayWaitLong] a silent target is given the whole time left. */
+    suspend fun run(mayWaitLong: Boolean): AttemptEnd {
+        (helperWork + mainWork).forEach { board.begin(it) }
+        var connection: ServerConnection? = null
+        try {
+            val connectMillis = minOf(CONNECT_MILLIS, request.deadline - loop.now())
+            connection = connector.connect(placement.main.address, connectMillis) ?: return AttemptEnd.NotSent
+            send(connection)
+            return receiveAll(connection, mayWaitLong)
+        } finally {
+            connection?.close()
+            (helperWork + mainWork).forEach { board.end(it) }
+        }
+    }
+
+    private fun send(connection: ServerConnection) {
+        val now = loop.now()
+        val details =
+            SendDetails(
+                target = placement.main,
+                remainingMillis = request.deadline - now,
+                account = request.account?.name,
+                priority = null,
+                resumeAfter = progress.lastEvent,
+                helpers = placement.helpers.map { Helper(it, null) },
+            )
+        selector.recordSend(placement.main, now)
+        connection.send(request.incoming.toTarget(format, details))
+    }
+
+    private suspend fun receiveAll(
+        connection: ServerConnection,
+        mayWaitLong: Boolean,
+    ): AttemptEnd {
+        val head =
+            when (val first = receive(connection, mayWaitLong)) {
+                is ServerReply.Head -> first
+                is ServerReply.Broken -> return AttemptEnd.Broken(first.reason)
+                is ServerReply.Piece, ServerReply.End -> return AttemptEnd.Broken("body before head")
+                null -> return AttemptEnd.TimedOut
+            }
+        val stated = format.readAnswer(head.status, head.headers)
+        return when {
+            stated.hasNotRun -> AttemptEnd.Rejected(head.status)
+            stated.id != null && stated.id != request.head.id -> AttemptEnd.Broken("answer to another request")
+            !stated.isSigned || stated.isEncoded -> AttemptEnd.Broken("answer not the target's own")
+            head.status != STATUS_OK -> collectFailure(connection, head)
+            else -> passEvents(connection, head, mayWaitLong)
+        }
+    }
+
+    private suspend fun collectFailure(
+        connection: ServerConnection,
+        head: ServerReply.Head,
+    ): AttemptEnd {
+        val body =
+            withTimeoutOrNull(request.deadline - loop.now()) { collectBody(connection) }
+                ?: return AttemptEnd.Broken("answer cut")
+        progress.failure = WholeAnswer(head, body)
+        return AttemptEnd.Answered(head.status)
+    }
+
+    private suspend fun passEvents(
+        connection: ServerConnection,
+        head: ServerReply.Head,
+        mayWaitLong: Boolean,
+    ): AttemptEnd {
+        while (true) {
+            when (val part = receive(connection, mayWaitLong)) {
+                is ServerReply.Piece -> splitter.add(part.bytes)?.let { if (!pass(it, head)) return AttemptEnd.Broken("gap in events") }
+                ServerReply.End -> return finish(head)
+                is ServerReply.Head -> return AttemptEnd.Broken("second answer")
+                is ServerReply.Broken -> return AttemptEnd.Broken(part.reason)
+                null -> return AttemptEnd.TimedOut
+            }
+        }
+    }
+
+    private suspend fun pass(
+        events: Events,
+        head: ServerReply.Head,
+    ): Boolean {
+        val first = events.firstId
+        val last = resumedAt
+        if (isFirst && first != null && last != null && first != last + 1) return false
+        if (isFirst) markRead()
+        isFirst = false
+        if (!reply.isStarted) reply.start(head.status, format.returnedHeaders(head.headers))
+        reply.piece(events.bytes)
+        progress.events++
+        progress.lastEvent = events.lastId ?: progress.lastEvent
+        return true
+    }
+
+    private fun finish(head: ServerReply.Head): AttemptEnd {
+        if (splitter.hasPartialEvent) return AttemptEnd.Broken("event cut")
+        if (!reply.isStarted) reply.start(head.status, format.returnedHeaders(head.headers))
+        reply.finish()
+        return AttemptEnd.Answered(head.status)
+    }
+
+    private fun markRead() {
+        board.markRead(mainWork)
+        helperWork.forEach { board.end(it) }
+    }
+
+    private suspend fun receive(
+        connection: ServerConnection,
+        mayWaitLong: Boolean,
+    ): ServerReply? {
+        val left = request.deadline - loop.now()
+        if (left <= 0) return null
+        val silence = if (isFirst) FIRST_SILENCE_MILLIS + SILENCE_FACTOR * placement.plan.predictedMillis.toLong() else GAP_SILENCE_MILLIS
+        return withTimeoutOrNull(if (mayWaitLong) left else minOf(left, silence)) { connection.receive() }
+    }
+
+    private companion object {
+        const val STATUS_OK = 200
+
+        /** Milliseconds for a connection to stand: many round trips between zones, a fraction of the shortest aim. */
+        const val CONNECT_MILLIS = 150L
+
+        /** Milliseconds beyond the prediction after which a target that sent nothing yet counts as silent. */
+        const val FIRST_SILENCE_MILLIS = 1_000L
+
+        /** Times the prediction that a target is waited for. */
+        const val SILENCE_FACTOR = 2
+
+        /** Milliseconds without an event after which a target counts as silent; callers leave after two seconds. */
+        const val GAP_SILENCE_MILLIS = 1_400L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -0,0 +1,133 @@
+/*
+ * Forwards streams of events as they arrive. When a target fails midway, another one continues the same answer after the last
+ * whole event that the caller has.
+ */
+package yuccaferry.gateway.request
+
+import yuccaferry.daemon.port.Field
+import yuccaferry.decisions.forward.AttemptEnd
+import yuccaferry.decisions.forward.finalAnswer
+import yuccaferry.decisions.routing.EngineFigures
+import yuccaferry.decisions.routing.RequestKind
+import yuccaferry.gateway.net.CallerReply
+import yuccaferry.gateway.net.EventLoop
+import yuccaferry.gateway.net.ServerConnector
+import yuccaferry.gateway.peers.WorkBoard
+import yuccaferry.gateway.port.RequestFormat
+import yuccaferry.model.TargetId
+
+/** Forwards streams. */
+internal class StreamForwarder(
+    private val loop: EventLoop,
+    private val connector: ServerConnector,
+    private val format: RequestFormat,
+    private val selector: TargetSelector,
+    private val health: TargetHealth,
+    private val repeats: Repeats,
+    private val board: WorkBoard,
+    private val log: AttemptLog,
+) {
+    /** Answers [request] through [reply]; returns the outcome for the log. */
+    suspend fun forward(
+        request: AdmittedRequest,
+        kind: RequestKind.Stream,
+        reply: CallerReply,
+    ): String {
+        val figures = request.service.engine ?: PLAIN_FIGURES
+        val progress = StreamProgress(request.head.lastEvent)
+        val ends = mutableListOf<AttemptEnd>()
+        val tried = mutableSetOf<TargetId>()
+        var sent = 0
+        repeats.recordFirst(request, loop.now())
+        while (request.deadline > loop.now()) {
+            val placement = selector.place(request, figures, tried, loop.now()) ?: break
+            tried += placement.main.id
+            val start = loop.now()
+            val isLast = sent + 1 >= request.route.maxAttempts || !kind.resumable
+            log.sent(request, placement.main, ends.size + 1, *inputs(request, placement, progress))
+            val attempt = StreamAttempt(loop, connector, format, selector, board, request, placement, figures, progress, reply)
+            val end = attempt.run(mayWaitLong = isLast)
+            ends += end
+            log.ended(request, placement.main, end, start, loop.now())
+            health.record(attempt.blamed ?: placement.main, end, loop.now())
+            if (end != AttemptEnd.NotSent) sent++
+            if (reply.isComplete) return "answered:events_${progress.events}"
+            if (!goOn(request, end, sent, ends.size)) break
+        }
+        return giveUp(request, reply, progress, ends)
+    }
+
+    private fun goOn(
+        request: AdmittedRequest,
+        end: AttemptEnd,
+        sent: Int,
+        attempts: Int,
+    ): Boolean = if (end == AttemptEnd.NotSent) attempts < MOST_TARGETS else repeats.take(request, end, sent, loop.now())
+
+    private fun giveUp(
+        request: AdmittedRequest,
+        reply: CallerReply,
+        progress: StreamProgress,
+        ends: List<AttemptEnd>,
+    ): String {
+        if (reply.isStarted) return "cut:events_${progress.events}"
+        progress.failure?.let {
+            reply.whole(it.status, format.returnedHeaders(it.head.headers), it.body)
+            return "answered:${it.status}"
+        }
+        val answer = finalAnswer(ends, RETRY_AFTER_MILLIS)
+        format.refuse(reply, request.head.id, answer)
+        return "failed:${answer.status}:attempts_${ends.size}"
+    }
+
+    private fun inputs(
+        request: AdmittedRequest,
+        placement: Placement,
+        progress: StreamProgress,
+    ): Array<Field> =
+        arrayOf(
+            Field("tokens", request.head.promptTokens),
+            Field("active", placement.plan.main.active),
+            Field(
+                "reading_ms",
+                placement.plan.main.readingMillis
+                    .toInt(),
+            ),
+            Field("predicted_ms", placement.plan.predictedMillis.toInt()),
+            Field("helpers", placement.helpers.joinToString(",") { it.id.value }.ifEmpty { null }),
+            Field("after_event", progress.lastEvent),
+        )
+
+    private companion object {
+        /** Targets that are tried for one stream while none can be reached. */
+        const val MOST_TARGETS = 4
+
+        /** Milliseconds after which a refused caller may come back: a few passes of an engine. */
+        const val RETRY_AFTER_MILLIS = 150L
+
+        /** Figures for streams of services that state none: every prompt counts as short. */
+        val PLAIN_FIGURES =
+            EngineFigures(
+                slots = 1,
+                memoryTokens = Long.MAX_VALUE,
+                stepMillis = 0.0,
+                stepMillisPerWriter = 0.0,
+                contextMillisPerThousand = 0.0,
+                readTokensPerMillisecond = 1e9,
+                pairMillisPerMillion = 0.0,
+                chunkTokens = Int.MAX_VALUE,
+                stepsPerPass = 1,
+            )
+    }
+}
+
+/** What of a stream has reached the caller. */
+internal class StreamProgress(
+    var lastEvent: Long?,
+) {
+    /** Pieces passed on. */
+    var events = 0
+
+    /** A target's own failure, kept in case no other target does better. */
+    var failure: WholeAnswer? = null
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -0,0 +1,114 @@
+// Chooses targets: turns what is believed of the fleet into the placement's inputs, and keeps the cold limit.
+package yuccaferry.gateway.request
+
+import yuccaferry.decisions.dispatch.EngineModel
+import yuccaferry.decisions.dispatch.Prompt
+import yuccaferry.decisions.dispatch.StreamPlacement
+import yuccaferry.decisions.dispatch.StreamPlan
+import yuccaferry.decisions.dispatch.TargetLoad
+import yuccaferry.decisions.dispatch.placeCall
+import yuccaferry.decisions.limits.ColdLimit
+import yuccaferry.decisions.routing.EngineFigures
+import yuccaferry.decisions.routing.ServiceDefinition
+import yuccaferry.gateway.GatewayLimits
+import yuccaferry.gateway.peers.WorkBoard
+import yuccaferry.gateway.view.FleetView
+import yuccaferry.gateway.view.Target
+import yuccaferry.model.MonotonicTime
+import yuccaferry.model.TargetId
+import yuccaferry.model.ZoneName
+import kotlin.random.Random
+
+/** Chooses targets for requests that enter in [zone]. */
+internal class TargetSelector(
+    private val fleet: FleetView,
+    private val board: WorkBoard,
+    private val health: TargetHealth,
+    private val zone: ZoneName,
+    private val limits: () -> GatewayLimits,
+    private val random: Random,
+) {
+    private val cold = HashMap<TargetId, ColdLimit>()
+
+    /** Where the prompt of [request] is read; null when no engine may get it. */
+    fun place(
+        request: AdmittedRequest,
+        figures: EngineFigures,
+        tried: Set<TargetId>,
+        now: MonotonicTime,
+    ): Placement? {
+        val targets = candidates(request.service, tried, now)
+        val prompt =
+            Prompt(
+                promptTokens = request.head.promptTokens,
+                totalTokens = request.head.promptTokens + request.head.answerTokens,
+                aimMillis = request.route.targetLatencyMillis,
+            )
+        val plan = StreamPlacement(EngineModel(figures)).place(prompt, targets.map { loadOf(it, now) }) ?: return null
+        val byId = targets.associateBy { it.id }
+        return Placement(plan, byId.getValue(plan.main.id), plan.helpers.map { byId.getValue(it.id) })
+    }
+
+    /** The target for a plain call; null when none may get it. */
+    fun call(
+        service: ServiceDefinition,
+        tried: Set<TargetId>,
+        now: MonotonicTime,
+    ): Target? {
+        val targets = candidates(service, tried, now)
+        val chosen = placeCall(targets.map { loadOf(it, now) }, zone, random.nextDouble()) ?: return null
+        return targets.first { it.id == chosen.id }
+    }
+
+    /** Records that a request is sent to [target] now. */
+    fun recordSend(
+        target: Target,
+        now: MonotonicTime,
+    ) {
+        if (target.coldUntil > now) cold.getOrPut(target.id) { ColdLimit() }.record(now) else cold -= target.id
+    }
+
+    private fun candidates(
+        service: ServiceDefinition,
+        tried: Set<TargetId>,
+        now: MonotonicTime,
+    ): List<Target> {
+        val usable = fleet.usable(service.name).filter { maySend(it, service, now) }
+        return usable.filter { it.id !in tried }.ifEmpty { usable }
+    }
+
+    private fun maySend(
+        target: Target,
+        service: ServiceDefinition,
+        now: MonotonicTime,
+    ): Boolean {
+        if (service.coldRequestsPerSecond <= 0 || target.coldUntil <= now) return true
+        val current = limits()
+        val fleetPerSecond = service.coldRequestsPerSecond * current.coldBurstFactor + current.coldTolerance
+        return cold[target.id]?.allows(now, fleetPerSecond / fleet.daemons) ?: (fleetPerSecond >= fleet.daemons)
+    }
+
+    private fun loadOf(
+        target: Target,
+        now: MonotonicTime,
+    ): TargetLoad {
+        val sum = board.sumAt(target.id, now)
+        return TargetLoad(
+            id = target.id,
+            zone = target.zone,
+            active = sum.active,
+            readingMillis = sum.readingMillis,
+            heldTokens = sum.heldTokens,
+            longRequests = sum.longRequests,
+            penaltyMillis = health.penaltyMillis(target.id, target.incarnation, now),
+            slots = maxOf(1, target.slots),
+        )
+    }
+}
+
+/** The targets of a [plan]. */
+internal class Placement(
+    val plan: StreamPlan,
+    val main: Target,
+    val helpers: List<Target>,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/view/FleetView.kt
@@ -0,0 +1,99 @@
+// What this daemon believes of the fleet: the configuration, targets, zones that are out, and the number of daemons.
+package yuccaferry.gateway.view
+
+import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.Telemetry
+import yuccaferry.decisions.routing.RoutingConfiguration
+import yuccaferry.model.ServiceName
+import yuccaferry.model.TargetId
+import yuccaferry.model.ZoneName
+
+/** The fleet as last read from the platform; confined to the event loop. */
+class FleetView(
+    private val telemetry: Telemetry,
+) {
+    private val targets = HashMap<TargetId, Target>()
+    private var byService: Map<ServiceName, List<Target>> = emptyMap()
+
+    /** The newest configuration, or null before the first. Never goes back to an older version. */
+    var configuration: RoutingConfiguration? = null
+        private set
+
+    /** Zones that get no new work. */
+    var zonesOut: Set<ZoneName> = emptySet()
+        private set
+
+    /** Live daemons, this one among them. */
+    var daemons: Int = ASSUMED_DAEMONS
+        private set
+
+    /** Whether the platform's list of targets has been read. */
+    var hasTargets = false
+        private set
+
+    /** Takes [next] unless it is older than what is in force. */
+    fun accept(next: RoutingConfiguration) {
+        val current = configuration
+        if (current != null && next.version <= current.version) return
+        configuration = next
+        telemetry.event(
+            "configuration_accepted",
+            Field("version", next.version),
+            Field("previous", current?.version),
+            Field("routes", next.routeCount),
+        )
+    }
+
+    /** Replaces the zones that are out. */
+    fun setZonesOut(zones: Set<ZoneName>) {
+        if (zones == zonesOut) return
+        zonesOut = zones
+        telemetry.event("zones_out", Field("zones", zones.joinToString(",")))
+    }
+
+    /** Replaces the number of live daemons. */
+    fun setDaemons(count: Int) {
+        if (count == daemons) return
+        telemetry.event("daemons_counted", Field("count", count), Field("previous", daemons))
+        daemons = count
+    }
+
+    /** Records that the platform's list has been read to its end. */
+    fun markListed() {
+        hasTargets = true
+    }
+
+    /** Adds or replaces one target. */
+    fun putTarget(target: Target) {
+        val before = targets.put(target.id, target)
+        if (before == null || before.isLeaving != target.isLeaving || before.incarnation != target.incarnation) {
+            telemetry.event(
+                "target_changed",
+                Field("target", target.id),
+                Field("address", target.hostPort),
+                Field("service", target.service),
+                Field("leaving", target.isLeaving),
+                Field("run", target.incarnation),
+            )
+        }
+        byService = emptyMap()
+    }
+
+    /** Removes one target. */
+    fun removeTarget(id: TargetId) {
+        val target = targets.remove(id) ?: return
+        byService = emptyMap()
+        telemetry.event("target_gone", Field("target", id), Field("address", target.hostPort))
+    }
+
+    /** Targets of [service] that may get new work, in the order of their ids. */
+    fun usable(service: ServiceName): List<Target> {
+        if (byService.isEmpty()) byService = targets.values.sortedBy { it.id.value }.groupBy { it.service }
+        return byService[service].orEmpty().filter { !it.isLeaving && it.zone !in zonesOut }
+    }
+
+    private companion object {
+        /** Daemons assumed before the first count: more than a site has, so that shares of common limits are on the safe side. */
+        const val ASSUMED_DAEMONS = 64
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/view/Target.kt
@@ -0,0 +1,30 @@
+// One target as the platform lists it.
+package yuccaferry.gateway.view
+
+import yuccaferry.model.Incarnation
+import yuccaferry.model.MonotonicTime
+import yuccaferry.model.ServiceName
+import yuccaferry.model.TargetId
+import yuccaferry.model.ZoneName
+import java.net.InetSocketAddress
+
+/**
+ * One run of a target.
+ *
+ * @property slots requests that it works on at once.
+ * @property isLeaving whether it takes no new work.
+ * @property coldUntil when it has warmed up.
+ */
+class Target(
+    val id: TargetId,
+    val incarnation: Incarnation,
+    val service: ServiceName,
+    val address: InetSocketAddress,
+    val zone: ZoneName,
+    val slots: Int,
+    val isLeaving: Boolean,
+    val coldUntil: MonotonicTime,
+) {
+    /** `host:port` of [address]. */
+    val hostPort: String get() = "${address.address.hostAddress}:${address.port}"
+}
