--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -12,10 +12,20 @@
  */
 data class StreamPlan(
     val main: TargetLoad,
-    val helpers: List<TargetLoad>,
+    val helpers: List<HelperPlan>,
     val predictedMillis: Double,
 )
 
+/**
+ * An engine that reads a part of a prompt.
+ *
+ * @property reservedTokens tokens of the prompt that its memory holds until the answer is written; zero when the main one does.
+ */
+data class HelperPlan(
+    val engine: TargetLoad,
+    val reservedTokens: Long,
+)
+
 /**
  * A prompt to place.
  *
@@ -71,19 +81,42 @@
     private fun placeLong(
         prompt: Prompt,
         engines: List<TargetLoad>,
-    ): StreamPlan {
+    ): StreamPlan? {
         val ranked =
             engines
                 .mapIndexed { index, engine -> engine to longCost(engine, prompt) - index * ORDER_MILLIS }
                 .sortedBy { it.second }
                 .map { it.first }
-        val usable = ranked.takeWhile { it.readingMillis <= BUSY_READ_MILLIS && it.active < it.slots }
-        val wanted = model.partsFor(prompt.promptTokens, prompt.aimMillis * READ_SHARE_OF_AIM, most = MAX_PARTS)
-        val parts = wanted.coerceIn(1, maxOf(1, usable.size))
         val main = ranked.first()
-        return StreamPlan(main, ranked.subList(1, parts), predicted(prompt, main, parts))
+        val usable = ranked.drop(1).takeWhile { it.readingMillis <= BUSY_READ_MILLIS && it.active < it.slots }
+        val deficit = prompt.totalTokens - freeTokens(main)
+        val held = if (deficit > 0) reserve(deficit, ranked.drop(1)) ?: return null else emptyList()
+        val wanted = model.partsFor(prompt.promptTokens, prompt.aimMillis * READ_SHARE_OF_AIM, most = MAX_PARTS)
+        val readers = usable.filter { engine -> held.none { it.engine.id == engine.id } }
+        val helpers = held + readers.take(maxOf(0, wanted - 1 - held.size)).map { HelperPlan(it, 0) }
+        return StreamPlan(main, helpers, predicted(prompt, main, parts = helpers.size + 1))
+    }
+
+    /** Memory for [tokens] tokens at the first of [engines] that have room; null when they don't suffice. */
+    private fun reserve(
+        tokens: Long,
+        engines: List<TargetLoad>,
+    ): List<HelperPlan>? {
+        var left = tokens
+        val plans = mutableListOf<HelperPlan>()
+        for (engine in engines) {
+            val part = minOf(left, freeTokens(engine))
+            if (part < LEAST_RESERVED_TOKENS) continue
+            plans += HelperPlan(engine, part)
+            left -= part
+            if (left <= 0) return plans
+        }
+        return null
     }
 
+    private fun freeTokens(engine: TargetLoad): Long =
+        maxOf(0, (model.figures.memoryTokens * USABLE_MEMORY_SHARE).toLong() - engine.heldTokens)
+
     private fun longCost(
         engine: TargetLoad,
         prompt: Prompt,
@@ -127,7 +160,13 @@
         /** Share of the aim that reading a long prompt may take. */
         const val READ_SHARE_OF_AIM = 0.5
 
-        /** Most engines that read one prompt: the one that writes and 16 helpers is the interface's limit. */
+        /** Most engines that read one prompt, with the one that writes; more would leave none for short prompts. */
         const val MAX_PARTS = 8
+
+        /** Share of an engine's memory that prompts are planned into; the rest is for what other daemons place meanwhile. */
+        const val USABLE_MEMORY_SHARE = 0.9
+
+        /** Tokens of the smallest part for which memory is set aside. */
+        const val LEAST_RESERVED_TOKENS = 2_048L
     }
 }
--- /dev/null
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/StreamPlacementTest.kt
@@ -0,0 +1,100 @@
+package yuccaferry.decisions.dispatch
+
+import org.junit.jupiter.api.Nested
+import yuccaferry.decisions.routing.EngineFigures
+import yuccaferry.model.TargetId
+import yuccaferry.model.ZoneName
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class StreamPlacementTest {
+    private val figures =
+        EngineFigures(
+            slots = 11,
+            memoryTokens = 405_000,
+            stepMillis = 1.31,
+            stepMillisPerWriter = 0.0013,
+            contextMillisPerThousand = 0.00213,
+            readTokensPerMillisecond = 154.0,
+            pairMillisPerMillion = 0.162,
+            chunkTokens = 2_048,
+            stepsPerPass = 34,
+        )
+    private val placement = StreamPlacement(EngineModel(figures))
+
+    private fun engine(
+        name: String,
+        active: Int = 0,
+        readingMillis: Double = 0.0,
+        heldTokens: Long = 0,
+        longRequests: Int = 0,
+        penaltyMillis: Double = 0.0,
+    ) = TargetLoad(TargetId(name), ZoneName("z"), active, readingMillis, heldTokens, longRequests, penaltyMillis, slots = 11)
+
+    private fun mainOf(
+        tokens: Long,
+        vararg engines: TargetLoad,
+    ) = placement
+        .place(Prompt(tokens, tokens + 800, 3_000), engines.toList())
+        ?.main
+        ?.id
+        ?.value
+
+    @Test
+    fun `without engines there is no plan`() {
+        assertNull(mainOf(4_960))
+    }
+
+    @Nested
+    inner class `a short prompt` {
+        @Test
+        fun `joins the first engines until they are well filled`() {
+            assertEquals("a", mainOf(4_960, engine("a", active = 4), engine("b")))
+            assertEquals("b", mainOf(4_960, engine("a", active = 9), engine("b")))
+        }
+
+        @Test
+        fun `keeps off an engine that reads a long prompt`() {
+            assertEquals("b", mainOf(4_960, engine("a", active = 1, readingMillis = 900.0, longRequests = 1), engine("b", active = 3)))
+        }
+
+        @Test
+        fun `keeps off an engine that failed lately`() {
+            assertEquals("b", mainOf(4_960, engine("a", penaltyMillis = 1_000.0), engine("b", active = 6)))
+        }
+    }
+
+    @Nested
+    inner class `a long prompt` {
+        @Test
+        fun `takes the emptiest engine from the end`() {
+            assertEquals("c", mainOf(45_000, engine("a", active = 5), engine("b"), engine("c")))
+            assertEquals("b", mainOf(45_000, engine("a", active = 5), engine("b"), engine("c", readingMillis = 1_500.0)))
+        }
+
+        @Test
+        fun `is read in as many parts as its aim needs`() {
+            val plan = assertNotNull(placement.place(Prompt(182_000, 183_000, 3_000), List(6) { engine("e$it") }))
+            assertEquals(2, plan.helpers.size)
+            assertTrue(plan.helpers.all { it.reservedTokens == 0L })
+        }
+    }
+
+    @Nested
+    inner class `a prompt beyond one engine's memory` {
+        @Test
+        fun `has the rest held by another engine`() {
+            val plan = assertNotNull(placement.place(Prompt(550_000, 551_000, 3_000), List(10) { engine("e$it") }))
+            assertEquals(551_000 - 364_500, plan.helpers.sumOf { it.reservedTokens })
+            assertEquals(1, plan.helpers.count { it.reservedTokens > 0 })
+        }
+
+        @Test
+        fun `has no plan when all memory is taken`() {
+            assertNull(placement.place(Prompt(550_000, 551_000, 3_000), List(10) { engine("e$it", heldTokens = 400_000) }))
+        }
+    }
+}
--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/GatewaySettings.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/GatewaySettings.kt
@@ -13,6 +13,7 @@
  *
  * @property callers `host:port` to listen on for callers.
  * @property readiness `host:port` to listen on for readiness checks.
+ * @property metrics `host:port` to serve metrics on, in the Prometheus text format.
  * @property host address of this instance.
  * @property internalPorts first and last port for messages between daemons.
  * @property store `host:port` of the platform's key-value service.
@@ -24,6 +25,7 @@
     val zone: String,
     val callers: String,
     val readiness: String,
+    val metrics: String,
     val host: String,
     val internalPorts: List<Int>,
     val store: String,
--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
@@ -7,11 +7,14 @@
 import yuccaferry.daemon.port.Field
 import yuccaferry.gateway.GatewayDaemon
 import yuccaferry.gateway.net.EventLoop
+import yuccaferry.gateway.net.ServerConnector
 import yuccaferry.gateway.view.FleetView
 import yuccaferry.model.ZoneName
+import yuccaferry.platform.MemoryOrders
 import yuccaferry.platform.PlatformAdapter
 import yuccaferry.platform.PlatformHeaders
 import yuccaferry.platform.parseAddress
+import yuccaferry.telemetry.DaemonTelemetry
 import java.lang.management.ManagementFactory
 import java.net.InetSocketAddress
 import java.nio.file.Path
@@ -28,12 +31,23 @@
         exitProcess(EXIT_USAGE)
     }
     val settings = GatewaySettings.read(Path.of(path))
-    val telemetry = ConsoleTelemetry(settings.name)
+    val telemetry = DaemonTelemetry(settings.name)
     val random = Random(System.nanoTime())
     val loop = EventLoop()
     val fleet = FleetView(telemetry)
+    val memory = MemoryOrders(ServerConnector(loop), telemetry)
     val daemon =
-        GatewayDaemon(loop, settings.name, ZoneName(settings.zone), fleet, PlatformHeaders(), { settings.limits }, telemetry, random)
+        GatewayDaemon(
+            loop,
+            settings.name,
+            ZoneName(settings.zone),
+            fleet,
+            PlatformHeaders(),
+            memory,
+            { settings.limits },
+            telemetry,
+            random,
+        )
     val peerAddress = InetSocketAddress(settings.host, settings.internalPorts.first())
     val platform =
         PlatformAdapter(
@@ -47,14 +61,19 @@
             random,
         )
     runBlocking(loop.scope.coroutineContext) {
-        daemon.listen(address("callers", settings.callers), address("readiness", settings.readiness))
+        daemon.listen(
+            callersAddress = address("callers", settings.callers),
+            readinessAddress = address("readiness", settings.readiness),
+            metricsAddress = address("metrics", settings.metrics),
+            metrics = telemetry::scrape,
+        )
         daemon.peers.open(peerAddress)
         platform.start()
     }
     telemetry.event("started", Field("after_ms", System.currentTimeMillis() - ManagementFactory.getRuntimeMXBean().startTime))
     Signal.handle(Signal("TERM")) {
+        loop.scope.launch { platform.leave() }
         loop.scope.launch {
-            platform.leave()
             daemon.leave()
             Runtime.getRuntime().halt(0)
         }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -7,10 +7,12 @@
 import yuccaferry.decisions.routing.CallerLimits
 import yuccaferry.gateway.net.CallerServer
 import yuccaferry.gateway.net.EventLoop
+import yuccaferry.gateway.net.Header
 import yuccaferry.gateway.net.RequestHandler
 import yuccaferry.gateway.net.ServerConnector
 import yuccaferry.gateway.peers.PeerLink
 import yuccaferry.gateway.peers.WorkBoard
+import yuccaferry.gateway.port.EngineMemory
 import yuccaferry.gateway.port.RequestFormat
 import yuccaferry.gateway.request.AttemptLog
 import yuccaferry.gateway.request.CallForwarder
@@ -36,6 +38,7 @@
     zone: ZoneName,
     private val fleet: FleetView,
     format: RequestFormat,
+    memory: EngineMemory,
     private val limits: () -> GatewayLimits,
     private val telemetry: Telemetry,
     random: Random,
@@ -50,7 +53,7 @@
     private val repeats = Repeats(fleet, limits)
     private val log = AttemptLog(telemetry)
     private val calls = CallForwarder(loop, connector, format, selector, health, repeats, board, log)
-    private val streams = StreamForwarder(loop, connector, format, selector, health, repeats, board, log)
+    private val streams = StreamForwarder(loop, connector, format, selector, health, repeats, board, memory, log)
     private val gateway = Gateway(loop, fleet, format, calls, streams, telemetry, random)
     private val callers = CallerServer(loop, ::callerLimits, gateway)
     private val readiness =
@@ -67,13 +70,17 @@
 
     private val isReady: Boolean get() = !callers.isLeaving && fleet.configuration != null && fleet.hasTargets
 
-    /** Listens for callers and for readiness checks; throws `IOException` when it can't. */
+    /** Listens for callers, readiness checks and readers of [metrics]; throws `IOException` when it can't. */
     suspend fun listen(
         callersAddress: InetSocketAddress,
         readinessAddress: InetSocketAddress,
+        metricsAddress: InetSocketAddress,
+        metrics: () -> String,
     ) {
         callers.listen(callersAddress)
         readiness.listen(readinessAddress)
+        val scraped = RequestHandler { _, reply -> reply.whole(STATUS_OK, METRICS_HEADERS, metrics().toByteArray()) }
+        CallerServer(loop, ::callerLimits, scraped).listen(metricsAddress)
     }
 
     /** Stops taking new callers, serves what comes until they are gone, and returns when nothing is left or time is up. */
@@ -107,6 +114,8 @@
         const val ROTATION_MILLIS = 2_500L
         const val POLL_MILLIS = 50L
 
+        val METRICS_HEADERS = listOf(Header("Content-Type", "text/plain; version=0.0.4"))
+
         /** Limits before the first configuration. */
         val STARTING_LIMITS =
             CallerLimits(headerBytes = 16_384, bodyBytes = 4_194_304, headerTimeoutMillis = 3_000, idleTimeoutMillis = 15_000)
--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/EventLoop.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/EventLoop.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import yuccaferry.model.MonotonicTime
+import java.util.concurrent.TimeUnit
 
 /** A single-threaded event loop; all other types of this package are confined to it. */
 class EventLoop {
@@ -15,10 +16,17 @@
     /** Coroutines of this scope run on the event loop's thread. */
     val scope = CoroutineScope(SupervisorJob() + group.next().asCoroutineDispatcher())
 
+    /** Ends the thread; coroutines that still run are not resumed. */
+    fun close() {
+        group.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
     /** The monotonic clock. */
     fun now() = MonotonicTime(System.nanoTime() / NANOS_PER_MILLI)
 
     private companion object {
+        /** Milliseconds that running tasks get at the end. */
+        const val CLOSE_MILLIS = 100L
         const val NANOS_PER_MILLI = 1_000_000L
     }
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -13,8 +13,10 @@
 import yuccaferry.gateway.net.ServerReply
 import yuccaferry.gateway.peers.Work
 import yuccaferry.gateway.peers.WorkBoard
+import yuccaferry.gateway.port.EngineMemory
 import yuccaferry.gateway.port.Helper
 import yuccaferry.gateway.port.RequestFormat
+import yuccaferry.gateway.port.ReserveResult
 import yuccaferry.gateway.port.SendDetails
 import yuccaferry.gateway.view.Target
 
@@ -25,6 +27,7 @@
     private val format: RequestFormat,
     private val selector: TargetSelector,
     private val board: WorkBoard,
+    memory: EngineMemory,
     private val request: AdmittedRequest,
     private val placement: Placement,
     figures: EngineFigures,
@@ -37,6 +40,8 @@
     private var isFirst = true
     private val mainWork: Work
     private val helperWork: List<Work>
+    private val holds: List<MemoryHold>
+    private val opened = mutableListOf<MemoryHold>()
 
     /** The target at fault when it isn't the main one. */
     var blamed: Target? = null
@@ -48,7 +53,11 @@
         val isLong = StreamPlacement(model).isLong(tokens)
         val read = model.readMillis(tokens, parts)
         mainWork = Work(placement.main.id, tokens + request.head.answerTokens, isLong, read, loop.now())
-        helperWork = placement.helpers.map { Work(it.id, tokens / parts, isLong, read, loop.now()) }
+        helperWork = placement.helpers.map { Work(it.target.id, maxOf(it.reservedTokens, tokens / parts), isLong, read, loop.now()) }
+        holds =
+            placement.helpers.filter { it.reservedTokens > 0 }.map {
+                MemoryHold(loop, memory, it.target, "${request.head.id}-${it.target.id}", it.reservedTokens)
+            }
     }
 
     /** Runs the attempt; with [mayWaitLong] a silent target is given the whole time left. */
@@ -56,16 +65,29 @@
         (helperWork + mainWork).forEach { board.begin(it) }
         var connection: ServerConnection? = null
         try {
+            if (!reserveAll()) return AttemptEnd.NotSent
             val connectMillis = minOf(CONNECT_MILLIS, request.deadline - loop.now())
             connection = connector.connect(placement.main.address, connectMillis) ?: return AttemptEnd.NotSent
             send(connection)
             return receiveAll(connection, mayWaitLong)
         } finally {
             connection?.close()
+            opened.forEach { it.close() }
             (helperWork + mainWork).forEach { board.end(it) }
         }
     }
 
+    private suspend fun reserveAll(): Boolean {
+        for (hold in holds) {
+            if (hold.open() != ReserveResult.HELD) {
+                blamed = hold.target
+                return false
+            }
+            opened += hold
+        }
+        return true
+    }
+
     private fun send(connection: ServerConnection) {
         val now = loop.now()
         val details =
@@ -75,7 +97,7 @@
                 account = request.account?.name,
                 priority = null,
                 resumeAfter = progress.lastEvent,
-                helpers = placement.helpers.map { Helper(it, null) },
+                helpers = placement.helpers.map { helper -> Helper(helper.target, opened.find { it.target === helper.target }?.id) },
             )
         selector.recordSend(placement.main, now)
         connection.send(request.incoming.toTarget(format, details))
@@ -94,7 +116,7 @@
             }
         val stated = format.readAnswer(head.status, head.headers)
         return when {
-            stated.hasNotRun -> AttemptEnd.Rejected(head.status)
+            stated.hasNotRun -> reject(head.status, stated.faultyAddress)
             stated.id != null && stated.id != request.head.id -> AttemptEnd.Broken("answer to another request")
             !stated.isSigned || stated.isEncoded -> AttemptEnd.Broken("answer not the target's own")
             head.status != STATUS_OK -> collectFailure(connection, head)
@@ -102,6 +124,14 @@
         }
     }
 
+    private fun reject(
+        status: Int,
+        faultyAddress: String?,
+    ): AttemptEnd {
+        blamed = placement.helpers.map { it.target }.find { it.hostPort == faultyAddress }
+        return AttemptEnd.Rejected(status)
+    }
+
     private suspend fun collectFailure(
         connection: ServerConnection,
         head: ServerReply.Head,
@@ -154,7 +184,7 @@
 
     private fun markRead() {
         board.markRead(mainWork)
-        helperWork.forEach { board.end(it) }
+        helperWork.forEach { if (opened.any { hold -> hold.target.id == it.target }) board.markRead(it) else board.end(it) }
     }
 
     private suspend fun receive(
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -13,6 +13,7 @@
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.ServerConnector
 import yuccaferry.gateway.peers.WorkBoard
+import yuccaferry.gateway.port.EngineMemory
 import yuccaferry.gateway.port.RequestFormat
 import yuccaferry.model.TargetId
 
@@ -25,6 +26,7 @@
     private val health: TargetHealth,
     private val repeats: Repeats,
     private val board: WorkBoard,
+    private val memory: EngineMemory,
     private val log: AttemptLog,
 ) {
     /** Answers [request] through [reply]; returns the outcome for the log. */
@@ -41,15 +43,16 @@
         repeats.recordFirst(request, loop.now())
         while (request.deadline > loop.now()) {
             val placement = selector.place(request, figures, tried, loop.now()) ?: break
-            tried += placement.main.id
             val start = loop.now()
             val isLast = sent + 1 >= request.route.maxAttempts || !kind.resumable
             log.sent(request, placement.main, ends.size + 1, *inputs(request, placement, progress))
-            val attempt = StreamAttempt(loop, connector, format, selector, board, request, placement, figures, progress, reply)
+            val attempt = StreamAttempt(loop, connector, format, selector, board, memory, request, placement, figures, progress, reply)
             val end = attempt.run(mayWaitLong = isLast)
             ends += end
             log.ended(request, placement.main, end, start, loop.now())
-            health.record(attempt.blamed ?: placement.main, end, loop.now())
+            val blamed = attempt.blamed ?: placement.main
+            tried += blamed.id
+            health.record(blamed, end, loop.now())
             if (end != AttemptEnd.NotSent) sent++
             if (reply.isComplete) return "answered:events_${progress.events}"
             if (!goOn(request, end, sent, ends.size)) break
@@ -94,7 +97,7 @@
                     .toInt(),
             ),
             Field("predicted_ms", placement.plan.predictedMillis.toInt()),
-            Field("helpers", placement.helpers.joinToString(",") { it.id.value }.ifEmpty { null }),
+            Field("helpers", placement.helpers.joinToString(",") { it.target.id.value }.ifEmpty { null }),
             Field("after_event", progress.lastEvent),
         )
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -46,7 +46,11 @@
             )
         val plan = StreamPlacement(EngineModel(figures)).place(prompt, targets.map { loadOf(it, now) }) ?: return null
         val byId = targets.associateBy { it.id }
-        return Placement(plan, byId.getValue(plan.main.id), plan.helpers.map { byId.getValue(it.id) })
+        return Placement(
+            plan,
+            byId.getValue(plan.main.id),
+            plan.helpers.map { HelperTarget(byId.getValue(it.engine.id), it.reservedTokens) },
+        )
     }
 
     /** The target for a plain call; null when none may get it. */
@@ -110,5 +114,11 @@
 internal class Placement(
     val plan: StreamPlan,
     val main: Target,
-    val helpers: List<Target>,
+    val helpers: List<HelperTarget>,
+)
+
+/** A helper, and the tokens of the prompt that its memory holds for the main target. */
+internal class HelperTarget(
+    val target: Target,
+    val reservedTokens: Long,
 )
--- a/telemetry/src/main/kotlin/yuccaferry/telemetry/DaemonTelemetry.kt
+++ b/telemetry/src/main/kotlin/yuccaferry/telemetry/DaemonTelemetry.kt
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Tag
 import io.micrometer.core.instrument.Tags
+import io.micrometer.core.instrument.Timer
 import io.micrometer.core.instrument.binder.jvm.JvmGcMetrics
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics
 import io.micrometer.core.instrument.binder.system.ProcessorMetrics
@@ -16,6 +17,7 @@
 import yuccaferry.daemon.port.Severity
 import yuccaferry.daemon.port.Span
 import yuccaferry.daemon.port.Telemetry
+import java.time.Duration
 import java.util.concurrent.TimeUnit
 
 /**
@@ -31,7 +33,10 @@
     private val logger = LogManager.getLogger("yuccaferry")
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val gcMetrics = JvmGcMetrics().apply { bindTo(registry) }
-    private val traces = Traces(name, exporter)
+    private val gate = LogGate()
+    private val droppedLines = registry.counter("yuccaferry_log_lines_dropped_total")
+    private val lazyTraces = lazy { Traces(name, exporter) }
+    private val traces by lazyTraces
 
     init {
         JvmMemoryMetrics().bindTo(registry)
@@ -47,9 +52,25 @@
         severity: Severity,
     ) {
         val level = levelOf(severity)
-        if (logger.isEnabled(level)) logger.log(level, logLine(name, listOf(Field("daemon", this.name)) + fields))
+        if (!logger.isEnabled(level)) return
+        when (val passage = gate.pass(System.nanoTime() / NANOS_PER_MILLI)) {
+            LogGate.Passage.Dropped -> {
+                droppedLines.increment()
+            }
+
+            is LogGate.Passage.Passed -> {
+                if (passage.droppedBefore > 0) write(Level.WARN, "log_lines_dropped", listOf(Field("count", passage.droppedBefore)))
+                write(level, name, fields.asList())
+            }
+        }
     }
 
+    private fun write(
+        level: Level,
+        event: String,
+        fields: List<Field>,
+    ) = logger.log(level, logLine(event, listOf(Field("daemon", name)) + fields))
+
     override fun count(
         name: String,
         amount: Double,
@@ -60,7 +81,12 @@
         name: String,
         millis: Long,
         vararg labels: Field,
-    ) = registry.timer(name, tags(labels)).record(millis, TimeUnit.MILLISECONDS)
+    ) = Timer
+        .builder(name)
+        .tags(tags(labels))
+        .serviceLevelObjectives(*BUCKETS)
+        .register(registry)
+        .record(millis, TimeUnit.MILLISECONDS)
 
     override fun gauge(
         name: String,
@@ -76,7 +102,7 @@
     ): Span = traces.open(name, parent)
 
     override fun close() {
-        traces.close()
+        if (lazyTraces.isInitialized()) traces.close()
         gcMetrics.close()
         registry.close()
     }
@@ -90,4 +116,14 @@
             Severity.WARN -> Level.WARN
             Severity.ERROR -> Level.ERROR
         }
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+
+        /** Upper bounds of latency buckets: the aims and timeouts in use lie between 100 ms and 15 s. */
+        val BUCKETS: Array<Duration> =
+            longArrayOf(5, 20, 50, 100, 200, 300, 500, 1_000, 1_500, 3_000, 5_000, 10_000, 15_000)
+                .map { Duration.ofMillis(it) }
+                .toTypedArray()
+    }
 }
