--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -88,15 +88,19 @@
                 .sortedBy { it.second }
                 .map { it.first }
         val main = ranked.first()
-        val usable = ranked.drop(1).takeWhile { it.readingMillis <= BUSY_READ_MILLIS && it.active < it.slots }
+        val usable = ranked.drop(1).filter { mayHelp(it) }
         val deficit = prompt.totalTokens - freeTokens(main)
-        val held = if (deficit > 0) reserve(deficit, ranked.drop(1)) ?: return null else emptyList()
+        val held = if (deficit > 0) reserve(deficit, usable) ?: return null else emptyList()
         val wanted = model.partsFor(prompt.promptTokens, prompt.aimMillis * READ_SHARE_OF_AIM, most = MAX_PARTS)
         val readers = usable.filter { engine -> held.none { it.engine.id == engine.id } }
         val helpers = held + readers.take(maxOf(0, wanted - 1 - held.size)).map { HelperPlan(it, 0) }
         return StreamPlan(main, helpers, predicted(prompt, main, parts = helpers.size + 1))
     }
 
+    /** A part of a prompt is read ahead of all else, so only engines that it delays little may help. */
+    private fun mayHelp(engine: TargetLoad): Boolean =
+        engine.readingMillis <= IDLE_READ_MILLIS && engine.longRequests == 0 && engine.active <= MOST_DELAYED && engine.penaltyMillis == 0.0
+
     /** Memory for [tokens] tokens at the first of [engines] that have room; null when they don't suffice. */
     private fun reserve(
         tokens: Long,
@@ -154,14 +158,17 @@
         /** Cost in ms, for a long prompt, of each request that it would delay. */
         const val HARMED_WRITER_MILLIS = 250.0
 
-        /** Engines whose prompts take longer than this many ms help no other prompt. */
-        const val BUSY_READ_MILLIS = 400.0
+        /** Engines whose prompts take longer than this many ms help no other prompt; about one short prompt. */
+        const val IDLE_READ_MILLIS = 40.0
+
+        /** Most requests on an engine that helps: their events are late while it does. */
+        const val MOST_DELAYED = 1
 
         /** Share of the aim that reading a long prompt may take. */
-        const val READ_SHARE_OF_AIM = 0.5
+        const val READ_SHARE_OF_AIM = 0.6
 
         /** Most engines that read one prompt, with the one that writes; more would leave none for short prompts. */
-        const val MAX_PARTS = 8
+        const val MAX_PARTS = 14
 
         /** Share of an engine's memory that prompts are planned into; the rest is for what other daemons place meanwhile. */
         const val USABLE_MEMORY_SHARE = 0.9
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkBoard.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkBoard.kt
@@ -19,8 +19,14 @@
     /** Whether the prompt has been read. */
     var isRead = false
 
-    /** Predicted time until the prompt is read. */
-    fun readingMillis(now: MonotonicTime): Double = if (isRead) 0.0 else maxOf(0.0, readMillis - (now - start))
+    /** Predicted time until the prompt is read; never zero before it is, since reads that go ahead may have delayed it. */
+    fun readingMillis(now: MonotonicTime): Double =
+        if (isRead) 0.0 else maxOf(readMillis * LEAST_SHARE_LEFT, readMillis - (now - start))
+
+    private companion object {
+        /** Share of a read time that is left at least while the prompt has not been read. */
+        const val LEAST_SHARE_LEFT = 0.2
+    }
 }
 
 /** Sums of the work at one target. */
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -204,10 +204,10 @@
         const val CONNECT_MILLIS = 150L
 
         /** Milliseconds beyond the prediction after which a target that sent nothing yet counts as silent. */
-        const val FIRST_SILENCE_MILLIS = 1_000L
+        const val FIRST_SILENCE_MILLIS = 2_000L
 
         /** Times the prediction that a target is waited for. */
-        const val SILENCE_FACTOR = 2
+        const val SILENCE_FACTOR = 4
 
         /** Milliseconds without an event after which a target counts as silent; callers leave after two seconds. */
         const val GAP_SILENCE_MILLIS = 1_400L
