--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -32,11 +32,13 @@
  * @property promptTokens tokens of the prompt.
  * @property totalTokens tokens of prompt and answer.
  * @property aimMillis time to the first event that is on time.
+ * @property patienceMillis time for which the caller waits.
  */
 data class Prompt(
     val promptTokens: Long,
     val totalTokens: Long,
     val aimMillis: Long,
+    val patienceMillis: Long,
 )
 
 /** Places prompts by the predicted times of [model]. */
@@ -91,12 +93,24 @@
         val usable = ranked.drop(1).filter { mayHelp(it) }
         val deficit = prompt.totalTokens - freeTokens(main)
         val held = if (deficit > 0) reserve(deficit, usable) ?: return null else emptyList()
-        val wanted = model.partsFor(prompt.promptTokens, prompt.aimMillis * READ_SHARE_OF_AIM, most = MAX_PARTS)
         val readers = usable.filter { engine -> held.none { it.engine.id == engine.id } }
-        val helpers = held + readers.take(maxOf(0, wanted - 1 - held.size)).map { HelperPlan(it, 0) }
+        val helpers = held + readers.take(maxOf(0, partsOf(prompt, usable.size) - 1 - held.size)).map { HelperPlan(it, 0) }
         return StreamPlan(main, helpers, predicted(prompt, main, parts = helpers.size + 1))
     }
 
+    /**
+     * Parts in which [prompt] is read when [idle] engines may help. A prompt that would take most of them to be on time is read
+     * by few instead, in time for its deadline, so that it delays no others.
+     */
+    private fun partsOf(
+        prompt: Prompt,
+        idle: Int,
+    ): Int {
+        val onTime = model.partsFor(prompt.promptTokens, prompt.aimMillis * READ_SHARE_OF_AIM, most = MAX_PARTS)
+        if (onTime <= FEW_PARTS || onTime - 1 <= idle * MOST_IDLE_SHARE) return onTime
+        return minOf(onTime, model.partsFor(prompt.promptTokens, prompt.patienceMillis * READ_SHARE_OF_PATIENCE, most = MAX_PARTS))
+    }
+
     /** A part of a prompt is read ahead of all else, so only engines that it delays little may help. */
     private fun mayHelp(engine: TargetLoad): Boolean =
         engine.readingMillis <= IDLE_READ_MILLIS && engine.longRequests == 0 && engine.active <= MOST_DELAYED && engine.penaltyMillis == 0.0
@@ -162,11 +176,20 @@
         const val IDLE_READ_MILLIS = 40.0
 
         /** Most requests on an engine that helps: their events are late while it does. */
-        const val MOST_DELAYED = 1
+        const val MOST_DELAYED = 3
 
         /** Share of the aim that reading a long prompt may take. */
         const val READ_SHARE_OF_AIM = 0.6
 
+        /** Share of the caller's patience that reading a prompt that can't be on time may take. */
+        const val READ_SHARE_OF_PATIENCE = 0.55
+
+        /** Parts that a prompt may always be read in. */
+        const val FEW_PARTS = 3
+
+        /** Share of the idle engines that one prompt may take. */
+        const val MOST_IDLE_SHARE = 0.6
+
         /** Most engines that read one prompt, with the one that writes; more would leave none for short prompts. */
         const val MAX_PARTS = 14
 
--- a/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/StreamPlacementTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/StreamPlacementTest.kt
@@ -38,7 +38,7 @@
         tokens: Long,
         vararg engines: TargetLoad,
     ) = placement
-        .place(Prompt(tokens, tokens + 800, 3_000), engines.toList())
+        .place(Prompt(tokens, tokens + 800, 3_000, 15_000), engines.toList())
         ?.main
         ?.id
         ?.value
@@ -77,24 +77,45 @@
 
         @Test
         fun `is read in as many parts as its aim needs`() {
-            val plan = assertNotNull(placement.place(Prompt(182_000, 183_000, 3_000), List(6) { engine("e$it") }))
+            val plan = assertNotNull(placement.place(Prompt(182_000, 183_000, 3_000, 15_000), List(6) { engine("e$it") }))
             assertEquals(2, plan.helpers.size)
             assertTrue(plan.helpers.all { it.reservedTokens == 0L })
         }
     }
 
+    @Nested
+    inner class `a prompt that would take most engines to be on time` {
+        private val prompt = Prompt(550_000, 551_000, 3_000, 15_000)
+
+        @Test
+        fun `takes them while enough others are idle`() {
+            assertEquals(13, placement.place(prompt, List(30) { engine("e$it") })?.helpers?.size)
+        }
+
+        @Test
+        fun `is read by few in time for its deadline otherwise`() {
+            assertEquals(3, placement.place(prompt, List(18) { engine("e$it") })?.helpers?.size)
+        }
+
+        @Test
+        fun `never has help from an engine on which a long prompt has not been read`() {
+            val busy = List(18) { engine("b$it", readingMillis = 50.0, longRequests = 1) }
+            assertEquals(0, placement.place(Prompt(182_000, 183_000, 3_000, 15_000), busy)?.helpers?.size)
+        }
+    }
+
     @Nested
     inner class `a prompt beyond one engine's memory` {
         @Test
         fun `has the rest held by another engine`() {
-            val plan = assertNotNull(placement.place(Prompt(550_000, 551_000, 3_000), List(10) { engine("e$it") }))
+            val plan = assertNotNull(placement.place(Prompt(550_000, 551_000, 3_000, 15_000), List(10) { engine("e$it") }))
             assertEquals(551_000 - 364_500, plan.helpers.sumOf { it.reservedTokens })
             assertEquals(1, plan.helpers.count { it.reservedTokens > 0 })
         }
 
         @Test
         fun `has no plan when all memory is taken`() {
-            assertNull(placement.place(Prompt(550_000, 551_000, 3_000), List(10) { engine("e$it", heldTokens = 400_000) }))
+            assertNull(placement.place(Prompt(550_000, 551_000, 3_000, 15_000), List(10) { engine("e$it", heldTokens = 400_000) }))
         }
     }
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -36,7 +36,6 @@
 ) {
     private val model = EngineModel(figures)
     private val splitter = EventSplitter()
-    private var resumedAt = progress.lastEvent
     private var isFirst = true
     private val mainWork: Work
     private val helperWork: List<Work>
@@ -163,9 +162,7 @@
         events: Events,
         head: ServerReply.Head,
     ): Boolean {
-        val first = events.firstId
-        val last = resumedAt
-        if (isFirst && first != null && last != null && first != last + 1) return false
+        if (leavesGap(events)) return false
         if (isFirst) markRead()
         isFirst = false
         if (!reply.isStarted) reply.start(head.status, format.returnedHeaders(head.headers))
@@ -175,6 +172,12 @@
         return true
     }
 
+    private fun leavesGap(events: Events): Boolean {
+        val first = events.firstId ?: return false
+        val last = progress.lastEvent ?: return false
+        return first != last + 1
+    }
+
     private fun finish(head: ServerReply.Head): AttemptEnd {
         if (splitter.hasPartialEvent) return AttemptEnd.Broken("event cut")
         if (!reply.isStarted) reply.start(head.status, format.returnedHeaders(head.headers))
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -43,6 +43,7 @@
                 promptTokens = request.head.promptTokens,
                 totalTokens = request.head.promptTokens + request.head.answerTokens,
                 aimMillis = request.route.targetLatencyMillis,
+                patienceMillis = request.deadline - now,
             )
         val plan = StreamPlacement(EngineModel(figures)).place(prompt, targets.map { loadOf(it, now) }) ?: return null
         val byId = targets.associateBy { it.id }
