--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -92,7 +92,7 @@
         val main = ranked.first()
         val usable = ranked.drop(1).filter { mayHelp(it) }
         val deficit = prompt.totalTokens - freeTokens(main)
-        val held = if (deficit > 0) reserve(deficit, usable) ?: return null else emptyList()
+        val held = if (deficit > 0) reserve(deficit, usable) ?: reserve(deficit, ranked.drop(1)) ?: return null else emptyList()
         val readers = usable.filter { engine -> held.none { it.engine.id == engine.id } }
         val helpers = held + readers.take(maxOf(0, partsOf(prompt, usable.size) - 1 - held.size)).map { HelperPlan(it, 0) }
         return StreamPlan(main, helpers, predicted(prompt, main, parts = helpers.size + 1))
--- a/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/StreamPlacementTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/StreamPlacementTest.kt
@@ -113,6 +113,12 @@
             assertEquals(1, plan.helpers.count { it.reservedTokens > 0 })
         }
 
+        @Test
+        fun `is held by a busy engine when none is idle`() {
+            val busy = List(10) { engine("e$it", active = 6) }
+            assertEquals(1, placement.place(Prompt(550_000, 551_000, 3_000, 15_000), busy)?.helpers?.count { it.reservedTokens > 0 })
+        }
+
         @Test
         fun `has no plan when all memory is taken`() {
             assertNull(placement.place(Prompt(550_000, 551_000, 3_000, 15_000), List(10) { engine("e$it", heldTokens = 400_000) }))
