--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -70,17 +70,19 @@
 
     private val isReady: Boolean get() = !callers.isLeaving && fleet.configuration != null && fleet.hasTargets
 
-    /** Listens for callers, readiness checks and readers of [metrics]; throws `IOException` when it can't. */
+    /** Listens for callers, readiness checks and readers of [metrics], and says where; throws `IOException` when it can't. */
     suspend fun listen(
         callersAddress: InetSocketAddress,
         readinessAddress: InetSocketAddress,
         metricsAddress: InetSocketAddress,
         metrics: () -> String,
-    ) {
-        callers.listen(callersAddress)
-        readiness.listen(readinessAddress)
+    ): Listening {
         val scraped = RequestHandler { _, reply -> reply.whole(STATUS_OK, METRICS_HEADERS, metrics().toByteArray()) }
-        CallerServer(loop, ::callerLimits, scraped).listen(metricsAddress)
+        return Listening(
+            callers = callers.listen(callersAddress),
+            readiness = readiness.listen(readinessAddress),
+            metrics = CallerServer(loop, ::callerLimits, scraped).listen(metricsAddress),
+        )
     }
 
     /** Stops taking new callers, serves what comes until they are gone, and returns when nothing is left or time is up. */
@@ -121,3 +123,10 @@
             CallerLimits(headerBytes = 16_384, bodyBytes = 4_194_304, headerTimeoutMillis = 3_000, idleTimeoutMillis = 15_000)
     }
 }
+
+/** Where a daemon listens. */
+data class Listening(
+    val callers: InetSocketAddress,
+    val readiness: InetSocketAddress,
+    val metrics: InetSocketAddress,
+)
