--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/GatewaySettings.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/GatewaySettings.kt
@@ -5,7 +5,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import yuccaferry.gateway.GatewayLimits
-import java.nio.file.Files
+import yuccaferry.platform.parseAddress
 import java.nio.file.Path
 
 /**
@@ -34,17 +34,29 @@
     companion object {
         private val json = Json { ignoreUnknownKeys = false }
 
-        /** Reads [path]; throws [IllegalArgumentException] that names the field when something is wrong. */
-        fun read(path: Path): GatewaySettings {
+        /** Reads [text], the content of [path]; throws [IllegalArgumentException] that names the field when something is wrong. */
+        fun parse(
+            path: Path,
+            text: String,
+        ): GatewaySettings {
             val settings =
                 try {
-                    json.decodeFromString(serializer(), Files.readString(path))
+                    json.decodeFromString(serializer(), text)
                 } catch (invalid: SerializationException) {
                     throw IllegalArgumentException("settings $path: ${invalid.message}", invalid)
                 }
             require(settings.settingsVersion == VERSION) {
                 "settings $path: settingsVersion: expected $VERSION, found ${settings.settingsVersion}"
             }
+            mapOf(
+                "callers" to settings.callers,
+                "readiness" to settings.readiness,
+                "metrics" to settings.metrics,
+                "store" to settings.store,
+            ).forEach { (field, address) ->
+                requireNotNull(parseAddress(address)) { "settings $path: $field: expected a.b.c.d:port, found $address" }
+            }
+            require(settings.internalPorts.isNotEmpty()) { "settings $path: internalPorts: expected the first and last port, found none" }
             return settings
         }
 
--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
@@ -1,6 +1,10 @@
 // `yuccaferry-gateway`: one daemon of the forwarding path.
 package yuccaferry.gateway.app
 
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import kotlinx.cli.optional
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import sun.misc.Signal
@@ -15,6 +19,7 @@
 import yuccaferry.platform.PlatformHeaders
 import yuccaferry.platform.parseAddress
 import yuccaferry.telemetry.DaemonTelemetry
+import java.io.IOException
 import java.lang.management.ManagementFactory
 import java.net.InetSocketAddress
 import java.nio.file.Path
@@ -25,12 +30,31 @@
 private const val EXIT_USAGE = 2
 
 fun main(arguments: Array<String>) {
-    val path = arguments.firstOrNull() ?: System.getenv(SETTINGS_VARIABLE)
-    if (path == null) {
-        System.err.println("usage: yuccaferry-gateway SETTINGS, or the path in $SETTINGS_VARIABLE")
-        exitProcess(EXIT_USAGE)
-    }
-    val settings = GatewaySettings.read(Path.of(path))
+    val parser = ArgParser("yuccaferry-gateway")
+    val path by parser.argument(ArgType.String, "settings", "JSON settings; the path in $SETTINGS_VARIABLE when left out").optional()
+    val checkOnly by parser.option(ArgType.Boolean, "check-settings", description = "check the settings and exit").default(false)
+    parser.parse(arguments)
+    val file =
+        try {
+            SettingsFile(
+                Path.of(requireNotNull(path ?: System.getenv(SETTINGS_VARIABLE)) { "no settings: name a file or set $SETTINGS_VARIABLE" }),
+            )
+        } catch (invalid: IllegalArgumentException) {
+            fail(invalid.message)
+        } catch (unreadable: IOException) {
+            fail("settings: can't be read: $unreadable")
+        }
+    if (checkOnly) return
+    run(file)
+}
+
+private fun fail(message: String?): Nothing {
+    System.err.println(message)
+    exitProcess(EXIT_USAGE)
+}
+
+private fun run(file: SettingsFile) {
+    val settings = file.current
     val telemetry = DaemonTelemetry(settings.name)
     val random = Random(System.nanoTime())
     val loop = EventLoop()
@@ -44,7 +68,7 @@
             fleet,
             PlatformHeaders(),
             memory,
-            { settings.limits },
+            { file.current.limits },
             telemetry,
             random,
         )
@@ -71,6 +95,8 @@
         platform.start()
     }
     telemetry.event("started", Field("after_ms", System.currentTimeMillis() - ManagementFactory.getRuntimeMXBean().startTime))
+    loop.scope.launch { file.follow(telemetry) }
+    Signal.handle(Signal("HUP")) { loop.scope.launch { file.reload(telemetry) } }
     Signal.handle(Signal("TERM")) {
         loop.scope.launch { platform.leave() }
         loop.scope.launch {
--- /dev/null
+++ b/gateway-app/src/test/kotlin/yuccaferry/gateway/app/SettingsFileTest.kt
@@ -0,0 +1,62 @@
+package yuccaferry.gateway.app
+
+import org.junit.jupiter.api.Nested
+import yuccaferry.daemon.port.NoTelemetry
+import java.nio.file.Files
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+
+class SettingsFileTest {
+    private val path = Files.createTempFile("gateway", ".json")
+    private val sound =
+        """{"settingsVersion":1,"name":"d","zone":"z","callers":"127.0.0.1:1","readiness":"127.0.0.1:2","metrics":"127.0.0.1:3",""" +
+            """"host":"127.0.0.1","internalPorts":[7340,7355],"store":"127.0.0.1:4","limits":{"coldBurstFactor":1.5,"coldTolerance":5,""" +
+            """"repeatRatio":0.2,"repeatReserve":236,"repeatWindowSeconds":10,"graceSeconds":8}}"""
+
+    private fun file(text: String): SettingsFile {
+        Files.writeString(path, text)
+        return SettingsFile(path)
+    }
+
+    private fun messageOf(text: String) = assertFailsWith<IllegalArgumentException> { file(text) }.message.orEmpty()
+
+    @AfterTest
+    fun delete() {
+        Files.delete(path)
+    }
+
+    @Nested
+    inner class `refuses, with the field's name` {
+        @Test
+        fun `an unknown field`() = assertContains(messageOf(sound.replace("\"zone\"", "\"zoen\"")), "zoen")
+
+        @Test
+        fun `an address that is none`() =
+            assertContains(messageOf(sound.replace("127.0.0.1:4", "store:4")), "store: expected a.b.c.d:port, found store:4")
+
+        @Test
+        fun `another version`() = assertContains(messageOf(sound.replace(":1,\"name", ":2,\"name")), "settingsVersion: expected 1, found 2")
+    }
+
+    @Nested
+    inner class `when the file changes` {
+        @Test
+        fun `new limits come into force`() {
+            val file = file(sound)
+            Files.writeString(path, sound.replace("236", "100"))
+            file.reload(NoTelemetry)
+            assertEquals(100.0, file.current.limits.repeatReserve)
+        }
+
+        @Test
+        fun `settings that can't be used change nothing`() {
+            val file = file(sound)
+            Files.writeString(path, sound.replace("236", "\"many\""))
+            file.reload(NoTelemetry)
+            assertEquals(236.0, file.current.limits.repeatReserve)
+        }
+    }
+}
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkBoard.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkBoard.kt
@@ -20,8 +20,7 @@
     var isRead = false
 
     /** Predicted time until the prompt is read; never zero before it is, since reads that go ahead may have delayed it. */
-    fun readingMillis(now: MonotonicTime): Double =
-        if (isRead) 0.0 else maxOf(readMillis * LEAST_SHARE_LEFT, readMillis - (now - start))
+    fun readingMillis(now: MonotonicTime): Double = if (isRead) 0.0 else maxOf(readMillis * LEAST_SHARE_LEFT, readMillis - (now - start))
 
     private companion object {
         /** Share of a read time that is left at least while the prompt has not been read. */
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -149,7 +149,7 @@
     ): AttemptEnd {
         while (true) {
             when (val part = receive(connection, mayWaitLong)) {
-                is ServerReply.Piece -> splitter.add(part.bytes)?.let { if (!pass(it, head)) return AttemptEnd.Broken("gap in events") }
+                is ServerReply.Piece -> splitter.add(part.bytes)?.let { pass(it, head) }?.let { return it }
                 ServerReply.End -> return finish(head)
                 is ServerReply.Head -> return AttemptEnd.Broken("second answer")
                 is ServerReply.Broken -> return AttemptEnd.Broken(part.reason)
@@ -158,18 +158,19 @@
         }
     }
 
+    /** Passes [events] on; returns the attempt's end when they can't be. */
     private suspend fun pass(
         events: Events,
         head: ServerReply.Head,
-    ): Boolean {
-        if (leavesGap(events)) return false
+    ): AttemptEnd? {
+        if (leavesGap(events)) return AttemptEnd.Broken("gap in events")
         if (isFirst) markRead()
         isFirst = false
         if (!reply.isStarted) reply.start(head.status, format.returnedHeaders(head.headers))
-        reply.piece(events.bytes)
         progress.events++
         progress.lastEvent = events.lastId ?: progress.lastEvent
-        return true
+        val taken = withTimeoutOrNull(request.deadline - loop.now()) { reply.piece(events.bytes) }
+        return if (taken == null) AttemptEnd.TimedOut else null
     }
 
     private fun leavesGap(events: Events): Boolean {
