--- a/ctl/src/main/kotlin/yuccaferry/ctl/Main.kt
+++ b/ctl/src/main/kotlin/yuccaferry/ctl/Main.kt
@@ -43,6 +43,7 @@
             ZoneCommand(),
             DrainCommand(),
             ExplainCommand(),
+            TraceCommand(),
         )
     return commands + CompletionCommand(commands)
 }
