--- a/ctl/src/test/kotlin/yuccaferry/ctl/CtlTest.kt
+++ b/ctl/src/test/kotlin/yuccaferry/ctl/CtlTest.kt
@@ -166,7 +166,7 @@
         fun `knows all commands and their options`() {
             assertEquals(ExitCode.OK, ctl("completion", "bash"))
             val script = out.toString()
-            assertContains(script, "words=\"apply diff validate status fleet zone drain explain completion\"")
+            assertContains(script, "words=\"apply diff validate status fleet zone drain explain trace completion\"")
             assertContains(script, "zone) words=\"--help --admin --token-file --output --wait --timeout out in\"")
             assertFalse(script.contains("null"))
         }
