--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -9,11 +9,14 @@
  *
  * @property main engine that receives the request and writes the answer.
  * @property helpers engines that read parts of the prompt, in order.
+ * @property predictedMillis time to the first event.
+ * @property partsOnTime parts in which the prompt would have to be read to be on time.
  */
 data class StreamPlan(
     val main: TargetLoad,
     val helpers: List<HelperPlan>,
     val predictedMillis: Double,
+    val partsOnTime: Int,
 )
 
 /**
@@ -70,7 +73,7 @@
                 bestCost = cost
             }
         }
-        return StreamPlan(best, emptyList(), predicted(prompt, best, parts = 1))
+        return StreamPlan(best, emptyList(), predicted(prompt, best, parts = 1), partsOnTime = 1)
     }
 
     private fun shortCost(engine: TargetLoad): Double {
@@ -95,9 +98,26 @@
         val held = if (deficit > 0) reserve(deficit, usable) ?: reserve(deficit, ranked.drop(1)) ?: return null else emptyList()
         val readers = usable.filter { engine -> held.none { it.engine.id == engine.id } }
         val helpers = held + readers.take(maxOf(0, partsOf(prompt, usable.size) - 1 - held.size)).map { HelperPlan(it, 0) }
-        return StreamPlan(main, helpers, predicted(prompt, main, parts = helpers.size + 1))
+        return StreamPlan(main, helpers, predicted(prompt, main, parts = helpers.size + 1), partsOnTime(prompt))
     }
 
+    /**
+     * Whether a long prompt that has waited [waitedMillis] should wait for engines to become idle instead of following [plan]:
+     * it would be late now, and could be on time with few more helpers.
+     */
+    fun shouldWait(
+        prompt: Prompt,
+        plan: StreamPlan,
+        waitedMillis: Long,
+    ): Boolean =
+        isLong(prompt.promptTokens) &&
+            plan.partsOnTime <= WORTH_WAITING_PARTS &&
+            waitedMillis < prompt.aimMillis * WAIT_SHARE_OF_AIM &&
+            waitedMillis + plan.predictedMillis > prompt.aimMillis
+
+    private fun partsOnTime(prompt: Prompt): Int =
+        model.partsFor(prompt.promptTokens, prompt.aimMillis * READ_SHARE_OF_AIM, most = MAX_PARTS)
+
     /**
      * Parts in which [prompt] is read when [idle] engines may help. A prompt that would take most of them to be on time is read
      * by few instead, in time for its deadline, so that it delays no others.
@@ -106,7 +126,7 @@
         prompt: Prompt,
         idle: Int,
     ): Int {
-        val onTime = model.partsFor(prompt.promptTokens, prompt.aimMillis * READ_SHARE_OF_AIM, most = MAX_PARTS)
+        val onTime = partsOnTime(prompt)
         if (onTime <= FEW_PARTS || onTime - 1 <= idle * MOST_IDLE_SHARE) return onTime
         return minOf(onTime, model.partsFor(prompt.promptTokens, prompt.patienceMillis * READ_SHARE_OF_PATIENCE, most = MAX_PARTS))
     }
@@ -141,7 +161,8 @@
     ): Double {
         val full = if (engine.active >= engine.slots) FULL_MILLIS else 0.0
         val overMemory = if (engine.heldTokens + prompt.totalTokens > model.figures.memoryTokens) FULL_MILLIS else 0.0
-        return engine.readingMillis + engine.active * HARMED_WRITER_MILLIS + full + overMemory + engine.penaltyMillis
+        val harm = engine.active * HARMED_WRITER_MILLIS + engine.longRequests * HARMED_LONG_MILLIS
+        return engine.readingMillis + harm + full + overMemory + engine.penaltyMillis
     }
 
     private fun predicted(
@@ -172,6 +193,9 @@
         /** Cost in ms, for a long prompt, of each request that it would delay. */
         const val HARMED_WRITER_MILLIS = 250.0
 
+        /** Additional cost in ms of each long request that it would delay, which has cost seconds of reading. */
+        const val HARMED_LONG_MILLIS = 1_500.0
+
         /** Engines whose prompts take longer than this many ms help no other prompt; about one short prompt. */
         const val IDLE_READ_MILLIS = 40.0
 
@@ -184,6 +208,12 @@
         /** Share of the caller's patience that reading a prompt that can't be on time may take. */
         const val READ_SHARE_OF_PATIENCE = 0.55
 
+        /** Share of the aim for which a prompt waits for idle engines; the rest is for reading it. */
+        const val WAIT_SHARE_OF_AIM = 0.4
+
+        /** Most parts of a prompt that waits; so many engines seldom become idle within the wait. */
+        const val WORTH_WAITING_PARTS = 5
+
         /** Parts that a prompt may always be read in. */
         const val FEW_PARTS = 3
 
--- a/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/StreamPlacementTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/StreamPlacementTest.kt
@@ -6,6 +6,7 @@
 import yuccaferry.model.ZoneName
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertNotNull
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
@@ -75,6 +76,11 @@
             assertEquals("b", mainOf(45_000, engine("a", active = 5), engine("b"), engine("c", readingMillis = 1_500.0)))
         }
 
+        @Test
+        fun `keeps off an engine that writes for another long prompt`() {
+            assertEquals("a", mainOf(45_000, engine("a", active = 5), engine("b", active = 1, longRequests = 1)))
+        }
+
         @Test
         fun `is read in as many parts as its aim needs`() {
             val plan = assertNotNull(placement.place(Prompt(182_000, 183_000, 3_000, 15_000), List(6) { engine("e$it") }))
@@ -104,6 +110,34 @@
         }
     }
 
+    @Nested
+    inner class `a long prompt that would be late` {
+        private val prompt = Prompt(205_000, 206_000, 3_000, 15_000)
+        private val busy = List(10) { engine("e$it", readingMillis = 900.0, longRequests = 1) }
+
+        private fun shouldWait(
+            prompt: Prompt,
+            engines: List<TargetLoad>,
+            waitedMillis: Long,
+        ) = placement.shouldWait(prompt, assertNotNull(placement.place(prompt, engines)), waitedMillis)
+
+        @Test
+        fun `waits for idle engines while it could still be on time`() {
+            assertTrue(shouldWait(prompt, busy, waitedMillis = 0))
+            assertFalse(shouldWait(prompt, busy, waitedMillis = 1_300))
+        }
+
+        @Test
+        fun `does not wait when idle engines make it on time`() {
+            assertFalse(shouldWait(prompt, busy + List(3) { engine("i$it") }, waitedMillis = 0))
+        }
+
+        @Test
+        fun `does not wait for more engines than become idle`() {
+            assertFalse(shouldWait(Prompt(600_000, 601_000, 3_000, 15_000), busy + List(3) { engine("i$it") }, waitedMillis = 0))
+        }
+    }
+
     @Nested
     inner class `a prompt beyond one engine's memory` {
         @Test
--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -53,7 +53,7 @@
     private val repeats = Repeats(fleet, limits)
     private val log = AttemptLog(telemetry)
     private val calls = CallForwarder(loop, connector, format, selector, health, repeats, board, log)
-    private val streams = StreamForwarder(loop, connector, format, selector, health, repeats, board, memory, log)
+    private val streams = StreamForwarder(loop, connector, format, selector, health, repeats, board, memory, log, random)
     private val gateway = Gateway(loop, fleet, format, calls, streams, telemetry, random)
     private val callers = CallerServer(loop, ::callerLimits, gateway)
     private val readiness =
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -197,8 +197,13 @@
     ): ServerReply? {
         val left = request.deadline - loop.now()
         if (left <= 0) return null
-        val silence = if (isFirst) FIRST_SILENCE_MILLIS + SILENCE_FACTOR * placement.plan.predictedMillis.toLong() else GAP_SILENCE_MILLIS
-        return withTimeoutOrNull(if (mayWaitLong) left else minOf(left, silence)) { connection.receive() }
+        return withTimeoutOrNull(if (mayWaitLong) left else minOf(left, longestSilence())) { connection.receive() }
+    }
+
+    /** Milliseconds of silence after which the target is given up; long prompts are waited for longer, since they'd be read again. */
+    private fun longestSilence(): Long {
+        val predicted = placement.plan.predictedMillis.toLong()
+        return if (isFirst) FIRST_SILENCE_MILLIS + FIRST_SILENCE_FACTOR * predicted else GAP_SILENCE_MILLIS + GAP_SILENCE_FACTOR * predicted
     }
 
     private companion object {
@@ -211,9 +216,12 @@
         const val FIRST_SILENCE_MILLIS = 2_000L
 
         /** Times the prediction that a target is waited for. */
-        const val SILENCE_FACTOR = 4
+        const val FIRST_SILENCE_FACTOR = 4
+
+        /** Milliseconds without an event after which a target counts as silent; callers of short prompts leave after two seconds. */
+        const val GAP_SILENCE_MILLIS = 1_300L
 
-        /** Milliseconds without an event after which a target counts as silent; callers leave after two seconds. */
-        const val GAP_SILENCE_MILLIS = 1_400L
+        /** Times the prediction that is waited for beyond that. */
+        const val GAP_SILENCE_FACTOR = 2
     }
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -4,6 +4,7 @@
  */
 package yuccaferry.gateway.request
 
+import kotlinx.coroutines.delay
 import yuccaferry.daemon.port.Field
 import yuccaferry.decisions.forward.AttemptEnd
 import yuccaferry.decisions.forward.finalAnswer
@@ -16,6 +17,7 @@
 import yuccaferry.gateway.port.EngineMemory
 import yuccaferry.gateway.port.RequestFormat
 import yuccaferry.model.TargetId
+import kotlin.random.Random
 
 /** Forwards streams. */
 internal class StreamForwarder(
@@ -28,6 +30,7 @@
     private val board: WorkBoard,
     private val memory: EngineMemory,
     private val log: AttemptLog,
+    private val random: Random,
 ) {
     /** Answers [request] through [reply]; returns the outcome for the log. */
     suspend fun forward(
@@ -42,7 +45,7 @@
         var sent = 0
         repeats.recordFirst(request, loop.now())
         while (request.deadline > loop.now()) {
-            val placement = selector.place(request, figures, tried, loop.now()) ?: break
+            val placement = place(request, figures, tried) ?: break
             val start = loop.now()
             val isLast = sent + 1 >= request.route.maxAttempts || !kind.resumable
             log.sent(request, placement.main, ends.size + 1, *inputs(request, placement, progress))
@@ -60,6 +63,19 @@
         return giveUp(request, reply, progress, ends)
     }
 
+    private suspend fun place(
+        request: AdmittedRequest,
+        figures: EngineFigures,
+        tried: Set<TargetId>,
+    ): Placement? {
+        while (true) {
+            val placement = selector.place(request, figures, tried, loop.now())
+            if (placement == null || !placement.shouldWait) return placement
+            // Different pauses keep daemons from choosing the same idle engine at the same moment.
+            delay(random.nextLong(SHORTEST_WAIT_MILLIS, LONGEST_WAIT_MILLIS))
+        }
+    }
+
     private fun goOn(
         request: AdmittedRequest,
         end: AttemptEnd,
@@ -90,6 +106,7 @@
     ): Array<Field> =
         arrayOf(
             Field("tokens", request.head.promptTokens),
+            Field("waited_ms", loop.now() - request.arrival),
             Field("active", placement.plan.main.active),
             Field(
                 "reading_ms",
@@ -105,6 +122,10 @@
         /** Targets that are tried for one stream while none can be reached. */
         const val MOST_TARGETS = 4
 
+        /** Milliseconds between looks for idle engines. */
+        const val SHORTEST_WAIT_MILLIS = 15L
+        const val LONGEST_WAIT_MILLIS = 60L
+
         /** Milliseconds after which a refused caller may come back: a few passes of an engine. */
         const val RETRY_AFTER_MILLIS = 150L
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -45,10 +45,13 @@
                 aimMillis = request.route.targetLatencyMillis,
                 patienceMillis = request.deadline - now,
             )
-        val plan = StreamPlacement(EngineModel(figures)).place(prompt, targets.map { loadOf(it, now) }) ?: return null
+        val placing = StreamPlacement(EngineModel(figures))
+        val plan = placing.place(prompt, targets.map { loadOf(it, now) }) ?: return null
+        val shouldWait = tried.isEmpty() && placing.shouldWait(prompt, plan, now - request.arrival)
         val byId = targets.associateBy { it.id }
         return Placement(
             plan,
+            shouldWait,
             byId.getValue(plan.main.id),
             plan.helpers.map { HelperTarget(byId.getValue(it.engine.id), it.reservedTokens) },
         )
@@ -111,9 +114,14 @@
     }
 }
 
-/** The targets of a [plan]. */
+/**
+ * The targets of a [plan].
+ *
+ * @property shouldWait whether a later plan is likely to serve the request sooner.
+ */
 internal class Placement(
     val plan: StreamPlan,
+    val shouldWait: Boolean,
     val main: Target,
     val helpers: List<HelperTarget>,
 )
