--- /dev/null
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/request/MemoryHoldTest.kt
@@ -0,0 +1,121 @@
+package yuccaferry.gateway.request
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import yuccaferry.gateway.net.EventLoop
+import yuccaferry.gateway.port.EngineMemory
+import yuccaferry.gateway.port.ReserveResult
+import yuccaferry.gateway.view.Target
+import yuccaferry.model.Incarnation
+import yuccaferry.model.MonotonicTime
+import yuccaferry.model.ServiceName
+import yuccaferry.model.TargetId
+import yuccaferry.model.ZoneName
+import java.net.InetSocketAddress
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class MemoryHoldTest {
+    private val loop = EventLoop()
+    private val target =
+        Target(
+            id = TargetId("i-1"),
+            incarnation = Incarnation("1"),
+            service = ServiceName("s"),
+            address = InetSocketAddress("127.0.0.1", 1),
+            zone = ZoneName("z"),
+            slots = 4,
+            isLeaving = false,
+            coldUntil = MonotonicTime(0),
+        )
+
+    private class Memory(
+        private val result: suspend () -> ReserveResult,
+    ) : EngineMemory {
+        val asked = CompletableDeferred<Unit>()
+        val released = CompletableDeferred<String>()
+        var holdMillis = 0L
+
+        override suspend fun reserve(
+            target: Target,
+            id: String,
+            tokens: Long,
+            holdMillis: Long,
+        ): ReserveResult {
+            this.holdMillis = holdMillis
+            asked.complete(Unit)
+            return result()
+        }
+
+        override suspend fun release(
+            target: Target,
+            id: String,
+        ) = released.complete(id)
+    }
+
+    private fun holdOf(memory: Memory) = MemoryHold(loop, memory, target, "r-i-1", 1_000)
+
+    private fun test(action: suspend () -> Unit) = runBlocking(loop.scope.coroutineContext) { withTimeout(WAIT_MILLIS) { action() } }
+
+    @AfterTest
+    fun close() = loop.close()
+
+    @Test
+    fun `gives memory back when it is closed`() =
+        test {
+            val memory = Memory { ReserveResult.HELD }
+            val hold = holdOf(memory)
+            assertEquals(ReserveResult.HELD, hold.open())
+            assertFalse(memory.released.isCompleted)
+            hold.close()
+            assertEquals("r-i-1", memory.released.await())
+        }
+
+    @Test
+    fun `ends by itself before memory without a request counts as leaked`() =
+        test {
+            val memory = Memory { ReserveResult.HELD }
+            holdOf(memory).apply { open() }.close()
+            assertTrue(memory.holdMillis < LEAK_MILLIS)
+        }
+
+    @Test
+    fun `gives memory back when no answer tells whether it was set aside`() =
+        test {
+            val memory = Memory { ReserveResult.UNKNOWN }
+            assertEquals(ReserveResult.UNKNOWN, holdOf(memory).open())
+            assertEquals("r-i-1", memory.released.await())
+        }
+
+    @Test
+    fun `gives memory back when the caller leaves before the answer`() =
+        test {
+            val memory = Memory { awaitCancellation() }
+            val opening = loop.scope.launch { holdOf(memory).open() }
+            memory.asked.await()
+            opening.cancelAndJoin()
+            assertEquals("r-i-1", memory.released.await())
+        }
+
+    @Test
+    fun `has nothing to give back when the engine refuses`() =
+        test {
+            val memory = Memory { ReserveResult.REFUSED }
+            assertEquals(ReserveResult.REFUSED, holdOf(memory).open())
+            assertFalse(memory.released.isCompleted)
+        }
+
+    private companion object {
+        const val WAIT_MILLIS = 10_000L
+
+        /** Milliseconds after which the users count memory without a request as leaked (`free-ms` of the sites). */
+        const val LEAK_MILLIS = 4_000L
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/view/FleetViewTest.kt
@@ -0,0 +1,59 @@
+package yuccaferry.gateway.view
+
+import yuccaferry.daemon.port.NoTelemetry
+import yuccaferry.model.Incarnation
+import yuccaferry.model.MonotonicTime
+import yuccaferry.model.ServiceName
+import yuccaferry.model.TargetId
+import yuccaferry.model.ZoneName
+import java.net.InetSocketAddress
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class FleetViewTest {
+    private val service = ServiceName("s")
+    private val fleet = FleetView(NoTelemetry)
+
+    private fun put(
+        id: String,
+        zone: String = "a",
+        isLeaving: Boolean = false,
+        of: ServiceName = service,
+    ) = fleet.putTarget(
+        Target(TargetId(id), Incarnation("1"), of, InetSocketAddress("127.0.0.1", 1), ZoneName(zone), 4, isLeaving, MonotonicTime(0)),
+    )
+
+    private fun usable() = fleet.usable(service).map { it.id.value }
+
+    @Test
+    fun `lists a service's targets in the order of their ids`() {
+        listOf("c", "a", "b").forEach { put(it) }
+        put("other", of = ServiceName("t"))
+        assertEquals(listOf("a", "b", "c"), usable())
+    }
+
+    @Test
+    fun `gives no new work to a target that is leaving or gone`() {
+        listOf("a", "b", "c").forEach { put(it) }
+        put("a", isLeaving = true)
+        fleet.removeTarget(TargetId("b"))
+        assertEquals(listOf("c"), usable())
+    }
+
+    @Test
+    fun `gives no new work to a zone that is out until it is back`() {
+        put("a", zone = "x")
+        put("b", zone = "y")
+        fleet.setZonesOut(setOf(ZoneName("x")))
+        assertEquals(listOf("b"), usable())
+        fleet.setZonesOut(emptySet())
+        assertEquals(listOf("a", "b"), usable())
+    }
+
+    @Test
+    fun `follows an address that another service's target has taken over`() {
+        put("a")
+        put("a", of = ServiceName("t"))
+        assertEquals(emptyList(), usable())
+    }
+}
