--- a/gateway/src/main/kotlin/yuccaferry/gateway/view/FleetView.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/view/FleetView.kt
@@ -13,6 +13,7 @@
     private val telemetry: Telemetry,
 ) {
     private val targets = HashMap<TargetId, Target>()
+    private val doubted = HashSet<TargetId>()
     private var byService: Map<ServiceName, List<Target>> = emptyMap()
 
     /** The newest configuration, or null before the first. Never goes back to an older version. */
@@ -66,6 +67,7 @@
     /** Adds or replaces one target. */
     fun putTarget(target: Target) {
         val before = targets.put(target.id, target)
+        doubted -= target.id
         if (before == null || before.isLeaving != target.isLeaving || before.incarnation != target.incarnation) {
             telemetry.event(
                 "target_changed",
@@ -82,14 +84,29 @@
     /** Removes one target. */
     fun removeTarget(id: TargetId) {
         val target = targets.remove(id) ?: return
+        doubted -= id
         byService = emptyMap()
         telemetry.event("target_gone", Field("target", id), Field("address", target.hostPort))
     }
 
-    /** Targets of [service] that may get new work, in the order of their ids. */
+    /**
+     * Records that [id] is missing from the platform's list for a reason that may pass: it has left, or an outage kept it from
+     * being listed.
+     */
+    fun doubtTarget(id: TargetId) {
+        if (id !in targets || !doubted.add(id)) return
+        telemetry.event("target_doubted", Field("target", id))
+    }
+
+    /**
+     * Targets of [service] that may get new work, in the order of their ids. Doubted ones are among them only while they
+     * outnumber the others: then an outage is the likely reason.
+     */
     fun usable(service: ServiceName): List<Target> {
         if (byService.isEmpty()) byService = targets.values.sortedBy { it.id.value }.groupBy { it.service }
-        return byService[service].orEmpty().filter { !it.isLeaving && it.zone !in zonesOut }
+        val working = byService[service].orEmpty().filter { !it.isLeaving }
+        val listed = working.filter { it.id !in doubted }
+        return (if (listed.size * 2 >= working.size) listed else working).filter { it.zone !in zonesOut }
     }
 
     private companion object {
--- a/gateway/src/test/kotlin/yuccaferry/gateway/view/FleetViewTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/view/FleetViewTest.kt
@@ -50,6 +50,25 @@
         assertEquals(listOf("a", "b"), usable())
     }
 
+    @Test
+    fun `gives no new work to the few targets that an outage leaves unlisted`() {
+        listOf("a", "b", "c").forEach { put(it) }
+        fleet.doubtTarget(TargetId("a"))
+        assertEquals(listOf("b", "c"), usable())
+        put("a")
+        assertEquals(listOf("a", "b", "c"), usable())
+    }
+
+    @Test
+    fun `keeps using unlisted targets while they are the larger part`() {
+        listOf("a", "b", "c").forEach { put(it) }
+        fleet.doubtTarget(TargetId("a"))
+        fleet.doubtTarget(TargetId("b"))
+        assertEquals(listOf("a", "b", "c"), usable())
+        fleet.removeTarget(TargetId("a"))
+        assertEquals(listOf("c"), usable())
+    }
+
     @Test
     fun `follows an address that another service's target has taken over`() {
         put("a")
