--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/AttemptLog.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/AttemptLog.kt
@@ -37,6 +37,7 @@
         end: AttemptEnd,
         start: MonotonicTime,
         now: MonotonicTime,
+        vararg details: Field,
     ) {
         telemetry.event(
             "attempt_ended",
@@ -44,6 +45,7 @@
             Field("target", target.id),
             Field("end", end),
             Field("ms", now - start),
+            *details,
         )
         telemetry.time("yuccaferry_attempt_duration", now - start, Field("end", end.javaClass.simpleName))
     }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -42,6 +42,9 @@
     private val holds: List<MemoryHold>
     private val opened = mutableListOf<MemoryHold>()
 
+    /** When the events of this attempt came. */
+    val pace = EventPace(loop.now())
+
     /** The target at fault when it isn't the main one. */
     var blamed: Target? = null
         private set
@@ -164,6 +167,7 @@
         head: ServerReply.Head,
     ): AttemptEnd? {
         if (leavesGap(events)) return AttemptEnd.Broken("gap in events")
+        pace.record(loop.now())
         if (isFirst) markRead()
         isFirst = false
         if (!reply.isStarted) reply.start(head.status, format.returnedHeaders(head.headers))
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -52,7 +52,7 @@
             val attempt = StreamAttempt(loop, connector, format, selector, board, memory, request, placement, figures, progress, reply)
             val end = attempt.run(mayWaitLong = isLast)
             ends += end
-            log.ended(request, placement.main, end, start, loop.now())
+            log.ended(request, placement.main, end, start, loop.now(), *attempt.pace.fields())
             val blamed = attempt.blamed ?: placement.main
             tried += blamed.id
             health.record(blamed, end, loop.now())
