Let the daemon whose store answers are held have its retention lease first, in two booking tests

Cause of the two red tests: a daemon that an earlier test restarted had no retention lease yet; with the store's answers held it waited for the lease's answer and never sent a claim, so the awaited record could not appear. Nothing in the product was wrong. The tests are as strict: the claim must still be written while its answer is held.

--- a/integration-tests/src/test/kotlin/yuccaferry/integration/bookings/BookingFailureTest.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/bookings/BookingFailureTest.kt
@@ -37,7 +37,11 @@
 
     private fun awaitRun(key: String) = eventually("$key runs") { fleet.desk.runs(key) == 1 }
 
-    private fun holdAnswersOfStore(daemon: BookingDaemon) = daemon.storeProxy.faults("""{"one_way":"down"}""")
+    /** Holds the answer to the claim; a daemon that has just started would wait for its retention lease instead and claim nothing. */
+    private fun holdAnswersOfStore(daemon: BookingDaemon) {
+        assertIs<Told.Success>(daemon.book(key = null).answer())
+        daemon.storeProxy.faults("""{"one_way":"down"}""")
+    }
 
     private val unknown = refused("outcome_unknown", "unknown")
 
