Check a silent target by a new connection, and avoid one less for a failure among answers

And one broken answer kept a daemon off a sound engine for seconds: short prompts went to an engine that had 1.4 s to read instead of one with ten writers and nothing to read. Now: after 500 ms of silence beyond the prediction, and again after twice that, a connection is tried; a target that takes none is given up. A failure of a target that has answered others within 3 s counts 0.15. Ruled out: shorter silences as such; a sound engine that reads a long prompt is silent for up to 2 s.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/ServerConnection.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/ServerConnection.kt
@@ -24,8 +24,11 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.ClosedReceiveChannelException
 import java.net.InetSocketAddress
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.channels.Channel as Mailbox
 
 /** A request as it goes on the wire. The `Host` header is the caller's to set. */
@@ -67,6 +70,14 @@
         }
     }
 
+    /** The next part of the reply, or null when none comes within [withinMillis] milliseconds; a part that comes later is not lost. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    suspend fun receive(withinMillis: Long): ServerReply? =
+        select {
+            inbox.onReceiveCatching { it.getOrNull() ?: ServerReply.Broken("closed") }
+            onTimeout(withinMillis) { null }
+        }
+
     /** Closes the connection; the server sees that its work is not wanted any more. */
     fun close() {
         channel.close()
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -195,15 +195,31 @@
         helperWork.forEach { if (opened.any { hold -> hold.target.id == it.target }) board.markRead(it) else board.end(it) }
     }
 
+    /** The next part of the answer; null when the target is silent for too long, broken when it can't be reached meanwhile. */
     private suspend fun receive(
         connection: ServerConnection,
         mayWaitLong: Boolean,
     ): ServerReply? {
-        val left = request.deadline - loop.now()
-        if (left <= 0) return null
-        return withTimeoutOrNull(if (mayWaitLong) left else minOf(left, longestSilence())) { connection.receive() }
+        val now = loop.now()
+        val end = if (mayWaitLong) request.deadline else minOf(request.deadline, now + longestSilence())
+        var checkMillis = firstCheckMillis()
+        while (loop.now() < end) {
+            connection.receive(minOf(end - loop.now(), checkMillis))?.let { return it }
+            if (loop.now() < end && !isReachable()) return ServerReply.Broken("unreachable while silent")
+            checkMillis *= 2
+        }
+        return null
     }
 
+    /** Whether the target still takes connections; a dead host shows nothing on those that stand. */
+    private suspend fun isReachable(): Boolean {
+        val connection = connector.connect(placement.main.address, CONNECT_MILLIS) ?: return false
+        connection.close()
+        return true
+    }
+
+    private fun firstCheckMillis(): Long = CHECK_MILLIS + if (isFirst) placement.plan.predictedMillis.toLong() else 0
+
     /** Milliseconds of silence after which the target is given up; long prompts are waited for longer, since they'd be read again. */
     private fun longestSilence(): Long {
         val predicted = placement.plan.predictedMillis.toLong()
@@ -216,6 +232,12 @@
         /** Milliseconds for a connection to stand: many round trips between zones, a fraction of the shortest aim. */
         const val CONNECT_MILLIS = 150L
 
+        /**
+         * Milliseconds of silence, beyond the prediction for the first event, after which a target is checked: several passes of an
+         * engine, and early enough for another one to continue before the caller leaves after two seconds.
+         */
+        const val CHECK_MILLIS = 500L
+
         /** Milliseconds beyond the prediction after which a target that sent nothing yet counts as silent. */
         const val FIRST_SILENCE_MILLIS = 2_000L
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetHealth.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetHealth.kt
@@ -9,6 +9,7 @@
 /** Failure scores of targets, halved at a fixed interval; confined to the event loop. */
 internal class TargetHealth {
     private val scores = HashMap<TargetId, Score>()
+    private val answers = HashMap<TargetId, MonotonicTime>()
 
     /** Milliseconds to add to a predicted time at this run of a target. */
     fun penaltyMillis(
@@ -22,7 +23,7 @@
         return if (value < NEGLIGIBLE_MILLIS) 0.0 else value
     }
 
-    /** Records that an attempt failed in a way that costs [millis]. */
+    /** Records that an attempt failed in a way that costs [millis]; a target that has just answered others costs a share of it. */
     fun recordFailure(
         target: TargetId,
         run: Incarnation,
@@ -30,7 +31,10 @@
         now: MonotonicTime,
     ) {
         val before = scores[target]?.takeIf { it.run == run }?.at(now) ?: 0.0
-        scores[target] = Score(run, minOf(before + millis, MOST_MILLIS), now)
+        val answered = answers[target]
+        val answersOthers = answered != null && now - answered < RECENT_ANSWER_MILLIS
+        val cost = if (answersOthers && millis < UNREACHABLE_MILLIS) millis * SPORADIC_SHARE else millis
+        scores[target] = Score(run, minOf(before + cost, MOST_MILLIS), now)
     }
 
     /** Records a whole answer. */
@@ -39,6 +43,7 @@
         run: Incarnation,
         now: MonotonicTime,
     ) {
+        answers[target] = now
         val before = scores[target]?.takeIf { it.run == run } ?: return
         val value = before.at(now) * SUCCESS_FACTOR
         if (value < NEGLIGIBLE_MILLIS) scores -= target else scores[target] = Score(run, value, now)
@@ -69,6 +74,12 @@
 
         /** Milliseconds in which a score halves: short beside the time for which targets stay away. */
         private const val HALF_LIFE_MILLIS = 1_500.0
+
+        /** Milliseconds for which an answer shows that a target works: a few requests of one daemon to it. */
+        private const val RECENT_ANSWER_MILLIS = 3_000L
+
+        /** Share of a failure's cost that counts at a target that answers others. */
+        private const val SPORADIC_SHARE = 0.15
         private const val SUCCESS_FACTOR = 0.6
         private const val NEGLIGIBLE_MILLIS = 10.0
         private const val MOST_MILLIS = 20_000.0
--- /dev/null
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/request/TargetHealthTest.kt
@@ -0,0 +1,59 @@
+package yuccaferry.gateway.request
+
+import org.junit.jupiter.api.Nested
+import yuccaferry.model.Incarnation
+import yuccaferry.model.MonotonicTime
+import yuccaferry.model.TargetId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class TargetHealthTest {
+    private val health = TargetHealth()
+    private val target = TargetId("t")
+    private val run = Incarnation("1")
+    private val start = MonotonicTime(10_000)
+
+    private fun penalty(
+        millisLater: Long = 0,
+        of: Incarnation = run,
+    ) = health.penaltyMillis(target, of, start + millisLater)
+
+    @Nested
+    inner class `a target that breaks off an answer` {
+        @Test
+        fun `is avoided, less with time`() {
+            health.recordFailure(target, run, TargetHealth.BROKEN_MILLIS, start)
+            assertEquals(3_000.0, penalty())
+            assertEquals(750.0, penalty(millisLater = 3_000))
+        }
+
+        @Test
+        fun `is hardly avoided when it has just answered others`() {
+            health.recordSuccess(target, run, start + -1_000)
+            health.recordFailure(target, run, TargetHealth.BROKEN_MILLIS, start)
+            assertEquals(450.0, penalty())
+        }
+
+        @Test
+        fun `is avoided all the same when its last answer is old`() {
+            health.recordSuccess(target, run, start + -3_000)
+            health.recordFailure(target, run, TargetHealth.BROKEN_MILLIS, start)
+            assertEquals(3_000.0, penalty())
+        }
+    }
+
+    @Test
+    fun `a target that can't be reached is avoided whatever it answered before`() {
+        health.recordSuccess(target, run, start)
+        health.recordFailure(target, run, TargetHealth.UNREACHABLE_MILLIS, start)
+        assertEquals(6_000.0, penalty())
+    }
+
+    @Test
+    fun `a new run of a target starts with no failures`() {
+        health.recordFailure(target, run, TargetHealth.BROKEN_MILLIS, start)
+        assertEquals(0.0, penalty(of = Incarnation("2")))
+        assertTrue(penalty() > 0)
+    }
+}
