--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/LongPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/LongPlacement.kt
@@ -33,18 +33,19 @@
     }
 
     /**
-     * Whether [prompt] should wait for engines instead of following [plan]: it would be late now and can still be on time with few
-     * more helpers, or short prompts need all engines.
+     * Whether [prompt] should wait for engines instead of following [plan]: it would be late now, or make others pause, and can
+     * still be on time with few more helpers; or short prompts need all engines.
      */
     fun shouldWait(
         prompt: Prompt,
         plan: StreamPlan,
     ): Boolean {
+        val harms = plan.main.active > 0
         val isLate = prompt.waitedMillis + plan.predictedMillis > prompt.aimMillis
         val canBeOnTime = plan.partsOnTime <= WORTH_WAITING_PARTS && prompt.waitedMillis < prompt.aimMillis * WAIT_SHARE_OF_AIM
         val wholePatience = prompt.waitedMillis + prompt.patienceMillis
         val hasTime = prompt.waitedMillis < wholePatience * WAIT_SHARE_OF_PATIENCE
-        return if (plan.hasRoom) isLate && canBeOnTime else hasTime
+        return if (plan.hasRoom) (isLate || harms) && canBeOnTime else hasTime
     }
 
     /** Engines that long prompts may take now: neither needed by short prompts nor reading a long one. */
@@ -116,7 +117,7 @@
         const val IDLE_READ_MILLIS = 40.0
 
         /** Most requests on an engine that helps: their events are late while it does. */
-        const val MOST_DELAYED = 3
+        const val MOST_DELAYED = 1
 
         /** Share of the slots that short prompts are assumed to fill on the engines kept for them. */
         const val FILLED_SHARE = 0.75
--- a/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/StreamPlacementTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/StreamPlacementTest.kt
@@ -68,6 +68,12 @@
             assertEquals("b", mainOf(4_960, engine("a", active = 1, readingMillis = 900.0, longRequests = 1), engine("b", active = 3)))
         }
 
+        @Test
+        fun `joins an engine that reads another short prompt, so that others stay idle for long ones`() {
+            assertEquals("a", mainOf(4_960, engine("a", active = 2, readingMillis = 50.0), engine("b")))
+            assertEquals("b", mainOf(4_960, engine("a", active = 2, readingMillis = 90.0), engine("b")))
+        }
+
         @Test
         fun `keeps off an engine that failed lately`() {
             assertEquals("b", mainOf(4_960, engine("a", penaltyMillis = 1_000.0), engine("b", active = 6)))
@@ -137,6 +143,14 @@
             assertFalse(shouldWait(prompt(300_000, 301_000, waitedMillis = 1_300), oneIdle))
         }
 
+        @Test
+        fun `waits for an idle engine rather than make others pause`() {
+            val writing = List(6) { engine("e$it", active = 1) }
+            assertTrue(shouldWait(prompt(45_000, 46_000), writing))
+            assertFalse(shouldWait(prompt(45_000, 46_000, waitedMillis = 1_300), writing))
+            assertFalse(shouldWait(prompt(45_000, 46_000), writing + engine("i")))
+        }
+
         @Test
         fun `does not wait when idle engines make it on time`() {
             assertFalse(shouldWait(prompt(182_000, 183_000), busy + List(6) { engine("i$it") }))
