--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -92,17 +92,13 @@
         val packed = (engine.slots * PACKED_SHARE).toInt()
         val crowding = if (engine.active >= packed) (engine.active - packed + 1) * CROWDED_MILLIS else 0.0
         val full = if (engine.active >= engine.slots) FULL_MILLIS else 0.0
-        val reading = maxOf(0.0, engine.readingMillis - UNNOTICED_READ_MILLIS)
-        return reading + engine.longRequests * BESIDE_LONG_MILLIS + crowding + full + engine.penaltyMillis
+        return engine.readingMillis + engine.longRequests * BESIDE_LONG_MILLIS + crowding + full + engine.penaltyMillis
     }
 
     private companion object {
         /** Share of an engine's slots that short prompts fill before the next engine is used. */
         const val PACKED_SHARE = 0.6
 
-        /** Reading in ms that delays a short prompt too little to be late; about two short prompts. */
-        const val UNNOTICED_READ_MILLIS = 60.0
-
         /** Cost in ms of each request beyond the packed share. */
         const val CROWDED_MILLIS = 8.0
 
@@ -119,10 +115,10 @@
 ): Double = engine.readingMillis + readMillis(prompt.promptTokens, parts) + passMillis(engine.active, engine.heldTokens)
 
 /**
- * Read time in ms above which a prompt counts as long: a pass that reads it would make writers beside it pause for longer than
- * the shortest pause aim in use, 250 ms.
+ * Read time in ms above which a prompt counts as long: a pass that reads it and one short prompt makes writers beside them pause for
+ * about the shortest pause aim in use, 250 ms.
  */
-internal const val LONG_READ_MILLIS = 180.0
+internal const val LONG_READ_MILLIS = 150.0
 
 /** Cost in ms of each position in the common order; breaks ties the same way on every daemon. */
 internal const val ORDER_MILLIS = 0.1
