--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/LongPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/LongPlacement.kt
@@ -53,7 +53,8 @@
         val shortRequests = engines.sumOf { maxOf(0, it.active - it.longRequests) }
         val slots = engines.sumOf { it.slots }.toDouble() / engines.size
         val forShort = ceil(shortRequests / (slots * FILLED_SHARE)) + ceil(engines.size * SPARE_SHARE)
-        return engines.size - forShort.toInt() - engines.count { it.readingMillis > LONG_READ_MILLIS }
+        val forLong = maxOf(engines.size - forShort.toInt(), (engines.size * LEAST_SHARE).toInt(), 1)
+        return forLong - engines.count { it.readingMillis > LONG_READ_MILLIS }
     }
 
     /** Parts that read [prompt] on time; fewer, in time for its deadline, when [helpers] engines don't suffice for that. */
@@ -125,6 +126,9 @@
         /** Share of the engines kept for short prompts beyond those that the present ones need. */
         const val SPARE_SHARE = 0.1
 
+        /** Share of the engines that long prompts may take however many short ones there are, so that they are served as well. */
+        const val LEAST_SHARE = 0.3
+
         /** Share of what is left of the aim that reading may take; the rest is for the pass that writes the first event. */
         const val READ_SHARE_OF_AIM = 0.7
 
