--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
@@ -33,7 +33,9 @@
     val parser = ArgParser("yuccaferry-gateway")
     val path by parser.argument(ArgType.String, "settings", "JSON settings; the path in $SETTINGS_VARIABLE when left out").optional()
     val checkOnly by parser.option(ArgType.Boolean, "check-settings", description = "check the settings and exit").default(false)
+    val script by parser.option(ArgType.String, "rehearse", description = "rehearse a start by the script in this file and exit")
     parser.parse(arguments)
+    script?.let { rehearse(Path.of(it)) }
     val file =
         try {
             SettingsFile(
@@ -48,12 +50,19 @@
     run(file)
 }
 
+private fun rehearse(path: Path): Nothing {
+    val statuses = Rehearsal.read(path).run()
+    if (statuses.any { it != Rehearsal.STATUS_OK }) fail("rehearsal $path: expected only status 200, found $statuses")
+    exitProcess(0)
+}
+
 private fun fail(message: String?): Nothing {
     System.err.println(message)
     exitProcess(EXIT_USAGE)
 }
 
-private fun run(file: SettingsFile) {
+/** Starts the daemon. */
+internal fun run(file: SettingsFile) {
     val settings = file.current
     val telemetry = DaemonTelemetry(settings.name)
     val random = Random(System.nanoTime())
--- /dev/null
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Rehearsal.kt
@@ -0,0 +1,171 @@
+/*
+ * A rehearsed start: one daemon on loopback serves a script's requests from a script's answers. The build records the classes that
+ * it loads, so that daemons start and serve their first requests without loading them one by one.
+ */
+package yuccaferry.gateway.app
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import yuccaferry.decisions.routing.CallerLimits
+import yuccaferry.gateway.GatewayLimits
+import yuccaferry.gateway.net.CallerReply
+import yuccaferry.gateway.net.CallerServer
+import yuccaferry.gateway.net.EventLoop
+import yuccaferry.gateway.net.Header
+import yuccaferry.gateway.net.IncomingRequest
+import yuccaferry.gateway.net.OutgoingRequest
+import yuccaferry.gateway.net.ServerConnector
+import yuccaferry.gateway.net.ServerReply
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.Base64
+
+/**
+ * What is rehearsed. In bodies, `@PORT@` stands for the port of the scripted server and `@NAME@` for the base64 text of the
+ * entry NAME of [encoded].
+ *
+ * @property answers of the scripted server; the first whose path begins the request's is given.
+ * @property requests what a caller sends in each round, in order.
+ * @property rounds how often the requests are sent.
+ */
+@Serializable
+internal class RehearsalScript(
+    val encoded: Map<String, String>,
+    val answers: List<ScriptedAnswer>,
+    val requests: List<ScriptedRequest>,
+    val rounds: Int,
+)
+
+/** One answer; the headers named in [echoed] are copied from the request. */
+@Serializable
+internal class ScriptedAnswer(
+    val path: String,
+    val headers: Map<String, String> = emptyMap(),
+    val echoed: List<String> = emptyList(),
+    val body: String,
+)
+
+/** One request with the body `x`. */
+@Serializable
+internal class ScriptedRequest(
+    val path: String,
+    val headers: Map<String, String>,
+)
+
+/** Rehearses a script. */
+internal class Rehearsal(
+    private val script: RehearsalScript,
+) {
+    private val serverLoop = EventLoop()
+    private val callerLoop = EventLoop()
+    private var serverPort = 0
+
+    /** Runs all rounds; returns the statuses of the last one. */
+    fun run(): List<Int?> {
+        val server = CallerServer(serverLoop, { LIMITS }, ::answer)
+        serverPort = runBlocking(serverLoop.scope.coroutineContext) { server.listen(loopback(0)).port }
+        val ports = freePorts()
+        val settings = Files.createTempFile("rehearsal", ".json")
+        Files.writeString(settings, Json.encodeToString(GatewaySettings.serializer(), settings(ports)))
+        run(SettingsFile(settings))
+        Files.delete(settings)
+        return runBlocking(callerLoop.scope.coroutineContext) {
+            var statuses = emptyList<Int?>()
+            repeat(script.rounds) {
+                statuses = script.requests.map { ask(loopback(ports.first()), it) }
+                delay(ROUND_PAUSE_MILLIS)
+            }
+            statuses
+        }
+    }
+
+    private suspend fun answer(
+        request: IncomingRequest,
+        reply: CallerReply,
+    ) {
+        val answer = script.answers.first { request.uri.startsWith(it.path) }
+        val echoed = answer.echoed.mapNotNull { name -> request.headers[name]?.let { Header(name, it) } }
+        reply.whole(STATUS_OK, answer.headers.map { Header(it.key, it.value) } + echoed, filled(answer.body).toByteArray())
+    }
+
+    private fun filled(text: String): String =
+        script.encoded.entries.fold(text) { filled, (name, value) ->
+            filled.replace("@$name@", Base64.getEncoder().encodeToString(value.replace("@PORT@", "$serverPort").toByteArray()))
+        }
+
+    private suspend fun ask(
+        daemon: InetSocketAddress,
+        request: ScriptedRequest,
+    ): Int? {
+        val connection = ServerConnector(callerLoop).connect(daemon, WAIT_MILLIS) ?: return null
+        val headers = DefaultHttpHeaders()
+        request.headers.forEach { (name, value) -> headers.set(name, value) }
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, 1)
+        connection.send(OutgoingRequest("POST", request.path, headers, "x".toByteArray()))
+        var status: Int? = null
+        withTimeoutOrNull(WAIT_MILLIS) {
+            do {
+                val reply = connection.receive()
+                if (reply is ServerReply.Head) status = reply.status
+            } while (reply is ServerReply.Head || reply is ServerReply.Piece)
+        }
+        connection.close()
+        return status
+    }
+
+    private fun settings(ports: List<Int>) =
+        GatewaySettings(
+            settingsVersion = 1,
+            name = "rehearsal",
+            zone = "rehearsal",
+            callers = "127.0.0.1:${ports[0]}",
+            readiness = "127.0.0.1:${ports[1]}",
+            metrics = "127.0.0.1:${ports[2]}",
+            host = "127.0.0.1",
+            internalPorts = listOf(ports.last()),
+            store = "127.0.0.1:$serverPort",
+            limits =
+                GatewayLimits(
+                    coldBurstFactor = 1.0,
+                    coldTolerance = 1.0,
+                    repeatRatio = 1.0,
+                    repeatReserve = 1.0,
+                    repeatWindowSeconds = 1.0,
+                    graceSeconds = 1.0,
+                ),
+        )
+
+    internal companion object {
+        const val STATUS_OK = 200
+
+        /** Milliseconds for a connection and for an answer: far above what either takes on a busy machine. */
+        private const val WAIT_MILLIS = 20_000L
+
+        /** Milliseconds between rounds, in which the daemon reads the store. */
+        private const val ROUND_PAUSE_MILLIS = 300L
+
+        /** Ports that a daemon listens on. */
+        private const val PORTS = 4
+
+        private val LIMITS =
+            CallerLimits(headerBytes = 16_384, bodyBytes = 65_536, headerTimeoutMillis = 20_000, idleTimeoutMillis = 20_000)
+
+        /** The script in [path]; throws `IOException` or `SerializationException` when it can't be read. */
+        fun read(path: Path) = Rehearsal(Json.decodeFromString(RehearsalScript.serializer(), Files.readString(path)))
+
+        private fun loopback(port: Int) = InetSocketAddress(InetAddress.getByAddress(byteArrayOf(127, 0, 0, 1)), port)
+
+        private fun freePorts(): List<Int> {
+            val sockets = List(PORTS) { ServerSocket(0) }
+            return sockets.map { it.localPort }.also { sockets.forEach { it.close() } }
+        }
+    }
+}
--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/ServerConnection.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/ServerConnection.kt
@@ -26,9 +26,9 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.ClosedReceiveChannelException
-import java.net.InetSocketAddress
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
+import java.net.InetSocketAddress
 import kotlinx.coroutines.channels.Channel as Mailbox
 
 /** A request as it goes on the wire. The `Host` header is the caller's to set. */
