Wait for the first configuration after a start; spread long prompts over engines that are alike

(2) Two daemons put long prompts on i-baba698446 within the same millisecond (18.59 s), and again on another engine (23.01 s), as all rank engines the same way; between engines that are alike each call now draws.

--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/LongPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/LongPlacement.kt
@@ -10,16 +10,17 @@
 internal class LongPlacement(
     private val model: EngineModel,
 ) {
-    /** The plan for [prompt] over [engines], of which there is at least one; null when their memory doesn't suffice. */
+    /**
+     * The plan for [prompt] over [engines], of which there is at least one; null when their memory doesn't suffice. [pick], from 0
+     * until 1, decides between engines that are alike, so that daemons that place at the same moment seldom choose the same.
+     */
     fun place(
         prompt: Prompt,
         engines: List<TargetLoad>,
+        pick: Double,
     ): StreamPlan? {
-        val ranked =
-            engines
-                .mapIndexed { index, engine -> engine to cost(engine, prompt) - index * ORDER_MILLIS }
-                .sortedBy { it.second }
-                .map { it.first }
+        val first = (pick * engines.size).toInt()
+        val ranked = (engines.drop(first) + engines.take(first)).sortedBy { cost(it, prompt) }
         val main = ranked.first()
         val usable = ranked.drop(1).filter { mayHelp(it) }
         val deficit = prompt.totalTokens - freeTokens(main)
--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -57,13 +57,17 @@
     /** Whether [tokens] delay the other requests of an engine noticeably. */
     fun isLong(tokens: Long): Boolean = model.readMillis(tokens) > LONG_READ_MILLIS
 
-    /** The plan for [prompt] over [engines], which all daemons list in the same order; null when there are none. */
+    /**
+     * The plan for [prompt] over [engines], which all daemons list in the same order; null when there are none. [pick], from 0
+     * until 1 and drawn anew for each call, decides between engines that are alike for a long prompt.
+     */
     fun place(
         prompt: Prompt,
         engines: List<TargetLoad>,
+        pick: Double,
     ): StreamPlan? {
         if (engines.isEmpty()) return null
-        return if (isLong(prompt.promptTokens)) long.place(prompt, engines) else placeShort(prompt, engines)
+        return if (isLong(prompt.promptTokens)) long.place(prompt, engines, pick) else placeShort(prompt, engines)
     }
 
     /** Whether [prompt] should wait for a better plan than [plan]. */
@@ -96,6 +100,9 @@
     }
 
     private companion object {
+        /** Cost in ms of each position in the common order; breaks ties the same way on every daemon. */
+        const val ORDER_MILLIS = 0.1
+
         /** Share of an engine's slots that short prompts fill before the next engine is used. */
         const val PACKED_SHARE = 0.6
 
@@ -120,8 +127,5 @@
  */
 internal const val LONG_READ_MILLIS = 150.0
 
-/** Cost in ms of each position in the common order; breaks ties the same way on every daemon. */
-internal const val ORDER_MILLIS = 0.1
-
 /** Cost in ms of joining an engine that has no free slot. */
 internal const val FULL_MILLIS = 2_000.0
--- a/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/StreamPlacementTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/StreamPlacementTest.kt
@@ -41,11 +41,17 @@
         waitedMillis: Long = 0,
     ) = Prompt(tokens, totalTokens, aimMillis = 3_000, waitedMillis, patienceMillis = 15_000 - waitedMillis)
 
+    private fun place(
+        prompt: Prompt,
+        engines: List<TargetLoad>,
+    ) = placement.place(prompt, engines, pick = 0.0)
+
     private fun mainOf(
         tokens: Long,
         vararg engines: TargetLoad,
+        pick: Double = 0.0,
     ) = placement
-        .place(prompt(tokens, tokens + 800), engines.toList())
+        .place(prompt(tokens, tokens + 800), engines.toList(), pick)
         ?.main
         ?.id
         ?.value
@@ -77,11 +83,16 @@
     @Nested
     inner class `a long prompt` {
         @Test
-        fun `takes the emptiest engine from the end`() {
-            assertEquals("c", mainOf(45_000, engine("a", active = 5), engine("b"), engine("c")))
+        fun `takes the emptiest engine`() {
             assertEquals("b", mainOf(45_000, engine("a", active = 5), engine("b"), engine("c", readingMillis = 1_500.0)))
         }
 
+        @Test
+        fun `takes any of the engines that are alike`() {
+            val engines = arrayOf(engine("a", active = 5), engine("b"), engine("c"))
+            assertEquals(setOf("b", "c"), listOf(0.0, 0.4, 0.7).map { mainOf(45_000, *engines, pick = it) }.toSet())
+        }
+
         @Test
         fun `keeps off an engine that writes for another long prompt`() {
             assertEquals("a", mainOf(45_000, engine("a", active = 5), engine("b", active = 1, longRequests = 1)))
@@ -90,10 +101,10 @@
         @Test
         fun `is read in as many parts as what is left of its aim needs`() {
             val idle = List(8) { engine("e$it") }
-            assertEquals(1, placement.place(prompt(182_000, 183_000), idle)?.helpers?.size)
-            assertEquals(3, placement.place(prompt(260_000, 261_000), idle)?.helpers?.size)
-            assertEquals(2, placement.place(prompt(182_000, 183_000, waitedMillis = 1_000), idle)?.helpers?.size)
-            assertTrue(placement.place(prompt(260_000, 261_000), idle)!!.helpers.all { it.reservedTokens == 0L })
+            assertEquals(1, place(prompt(182_000, 183_000), idle)?.helpers?.size)
+            assertEquals(3, place(prompt(260_000, 261_000), idle)?.helpers?.size)
+            assertEquals(2, place(prompt(182_000, 183_000, waitedMillis = 1_000), idle)?.helpers?.size)
+            assertTrue(place(prompt(260_000, 261_000), idle)!!.helpers.all { it.reservedTokens == 0L })
         }
     }
 
@@ -108,27 +119,27 @@
 
         @Test
         fun `takes them while enough others are left for short prompts`() {
-            assertEquals(13, placement.place(prompt, List(17) { engine("e$it") })?.helpers?.size)
+            assertEquals(13, place(prompt, List(17) { engine("e$it") })?.helpers?.size)
         }
 
         @Test
         fun `is read by few in time for its deadline when short prompts need too many`() {
-            assertEquals(3, placement.place(prompt, List(14) { engine("e$it") })?.helpers?.size)
+            assertEquals(3, place(prompt, List(14) { engine("e$it") })?.helpers?.size)
             val withShort = List(4) { engine("b$it", active = 9) } + List(13) { engine("e$it") }
-            assertEquals(3, placement.place(prompt, withShort)?.helpers?.size)
+            assertEquals(3, place(prompt, withShort)?.helpers?.size)
         }
 
         @Test
         fun `never has help from an engine on which a long prompt has not been read`() {
             val busy = List(18) { engine("b$it", readingMillis = 50.0, longRequests = 1) }
-            assertEquals(0, placement.place(prompt(182_000, 183_000), busy)?.helpers?.size)
+            assertEquals(0, place(prompt(182_000, 183_000), busy)?.helpers?.size)
         }
     }
 
     private fun shouldWait(
         prompt: Prompt,
         engines: List<TargetLoad>,
-    ) = placement.shouldWait(prompt, assertNotNull(placement.place(prompt, engines)))
+    ) = placement.shouldWait(prompt, assertNotNull(place(prompt, engines)))
 
     @Nested
     inner class `a long prompt that would be late` {
@@ -188,7 +199,7 @@
     inner class `a prompt beyond one engine's memory` {
         @Test
         fun `has the rest held by another engine`() {
-            val plan = assertNotNull(placement.place(prompt(550_000, 551_000), List(10) { engine("e$it") }))
+            val plan = assertNotNull(place(prompt(550_000, 551_000), List(10) { engine("e$it") }))
             assertEquals(551_000 - 364_500, plan.helpers.sumOf { it.reservedTokens })
             assertEquals(1, plan.helpers.count { it.reservedTokens > 0 })
         }
@@ -196,12 +207,12 @@
         @Test
         fun `is held by a busy engine when none is idle`() {
             val busy = List(10) { engine("e$it", active = 6) }
-            assertEquals(1, placement.place(prompt(550_000, 551_000), busy)?.helpers?.count { it.reservedTokens > 0 })
+            assertEquals(1, place(prompt(550_000, 551_000), busy)?.helpers?.count { it.reservedTokens > 0 })
         }
 
         @Test
         fun `has no plan when all memory is taken`() {
-            assertNull(placement.place(prompt(550_000, 551_000), List(10) { engine("e$it", heldTokens = 400_000) }))
+            assertNull(place(prompt(550_000, 551_000), List(10) { engine("e$it", heldTokens = 400_000) }))
         }
     }
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -68,7 +68,10 @@
             },
         )
 
-    private val isReady: Boolean get() = !callers.isLeaving && fleet.configuration != null && fleet.hasTargets
+    /** Connections on which a request is being answered. */
+    val busyConnections: Int get() = callers.busyConnections
+
+    private val isReady: Boolean get() = !callers.isLeaving && fleet.isReady
 
     /** Listens for callers, readiness checks and readers of [metrics], and says where; throws `IOException` when it can't. */
     suspend fun listen(
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/Gateway.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/Gateway.kt
@@ -2,6 +2,7 @@
 package yuccaferry.gateway.request
 
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.Severity
 import yuccaferry.daemon.port.Telemetry
@@ -16,6 +17,7 @@
 import yuccaferry.gateway.port.RequestFormat
 import yuccaferry.gateway.port.RequestHead
 import yuccaferry.gateway.view.FleetView
+import yuccaferry.model.MonotonicTime
 import kotlin.random.Random
 
 /** Answers callers' requests. */
@@ -28,6 +30,8 @@
     private val telemetry: Telemetry,
     private val random: Random,
 ) : RequestHandler {
+    private var startEnd: MonotonicTime? = null
+
     override suspend fun handle(
         request: IncomingRequest,
         reply: CallerReply,
@@ -56,8 +60,9 @@
         head: RequestHead,
         reply: CallerReply,
     ): String {
+        if (!fleet.isReady) awaitStart()
         val configuration = fleet.configuration
-        if (configuration == null || !fleet.hasTargets) {
+        if (configuration == null || !fleet.isReady) {
             format.refuse(reply, head.id, STATUS_UNAVAILABLE, START_RETRY_MILLIS)
             return "not_ready"
         }
@@ -71,6 +76,13 @@
         return forward(request, head, route, account, configuration, reply)
     }
 
+    /** Waits for the store's first answer, which follows the start within milliseconds unless the store is away. */
+    private suspend fun awaitStart() {
+        val end = startEnd ?: (loop.now() + START_MILLIS).also { startEnd = it }
+        val left = end - loop.now()
+        if (left > 0) withTimeoutOrNull(left) { fleet.awaitReady() }
+    }
+
     private fun refusalOf(
         configuration: RoutingConfiguration,
         head: RequestHead,
@@ -113,6 +125,9 @@
         const val STATUS_BAD_GATEWAY = 502
         const val STATUS_UNAVAILABLE = 503
 
+        /** Milliseconds after the first request within which requests wait for the first configuration: a call to a slow store. */
+        const val START_MILLIS = 800L
+
         /** Milliseconds after which a caller may come back to a daemon that has just started: one store call and its retry. */
         const val START_RETRY_MILLIS = 300L
     }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -47,7 +47,7 @@
                 patienceMillis = request.deadline - now,
             )
         val placing = StreamPlacement(EngineModel(figures))
-        val plan = placing.place(prompt, targets.map { loadOf(it, now) }) ?: return null
+        val plan = placing.place(prompt, targets.map { loadOf(it, now) }, random.nextDouble()) ?: return null
         val shouldWait = tried.isEmpty() && placing.shouldWait(prompt, plan)
         val byId = targets.associateBy { it.id }
         return Placement(
--- a/gateway/src/main/kotlin/yuccaferry/gateway/view/FleetView.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/view/FleetView.kt
@@ -1,6 +1,7 @@
 // What this daemon believes of the fleet: the configuration, targets, zones that are out, and the number of daemons.
 package yuccaferry.gateway.view
 
+import kotlinx.coroutines.CompletableDeferred
 import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.Telemetry
 import yuccaferry.decisions.routing.RoutingConfiguration
@@ -28,9 +29,10 @@
     var daemons: Int = ASSUMED_DAEMONS
         private set
 
-    /** Whether the platform's list of targets has been read. */
-    var hasTargets = false
-        private set
+    private val firstView = CompletableDeferred<Unit>()
+
+    /** Whether a configuration and the platform's list of targets have been read. */
+    val isReady: Boolean get() = firstView.isCompleted
 
     /** Takes [next] unless it is older than what is in force. */
     fun accept(next: RoutingConfiguration) {
@@ -61,9 +63,12 @@
 
     /** Records that the platform's list has been read to its end. */
     fun markListed() {
-        hasTargets = true
+        if (configuration != null) firstView.complete(Unit)
     }
 
+    /** Waits until [isReady]. */
+    suspend fun awaitReady() = firstView.await()
+
     /** Adds or replaces one target. */
     fun putTarget(target: Target) {
         val before = targets.put(target.id, target)
