A fault soak of real daemons behind proxies

Four daemons as processes, stand-ins of the store and of targets behind proxies, faults from a seeded plan, promises checked from what callers were told and targets saw.

--- a/integration-tests/src/test/kotlin/yuccaferry/integration/ProcessUnderTest.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/ProcessUnderTest.kt
@@ -17,7 +17,7 @@
 private const val NO_ROLE = ""
 
 /** A signal of the operating system. */
-internal enum class Signal { STOP, CONT, TERM, KILL }
+internal enum class Signal { STOP, CONT, HUP, TERM, KILL }
 
 /** A started process. */
 internal class ProcessUnderTest private constructor(
--- /dev/null
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakFleet.kt
@@ -0,0 +1,196 @@
+/*
+ * Daemons as processes before stand-ins of the platform and of targets. Each daemon reaches the store, and all reach each target,
+ * through a proxy, so that every link can be cut, silenced and delayed. Confined to the event loop, but for its processes.
+ */
+package yuccaferry.integration.soak
+
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import kotlinx.serialization.json.Json
+import yuccaferry.gateway.GatewayLimits
+import yuccaferry.gateway.app.GatewaySettings
+import yuccaferry.gateway.net.EventLoop
+import yuccaferry.integration.ProcessUnderTest
+import yuccaferry.integration.Signal
+import yuccaferry.platform.RunnerStandIn
+import yuccaferry.platform.StandInKeys
+import yuccaferry.platform.StoreStandIn
+import yuccaferry.platform.configurationDocument
+import yuccaferry.standin.proxy.Direction
+import yuccaferry.standin.proxy.ProxyFaults
+import yuccaferry.standin.proxy.TcpProxy
+import yuccaferry.standin.server.HostPort
+import java.io.File
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+
+/** One daemon; [run] counts its starts. */
+internal class SoakDaemon(
+    private val name: String,
+    private val settings: GatewaySettings,
+    val storeLink: TcpProxy,
+) {
+    private val file = File.createTempFile("settings-$name", ".json", File("target"))
+
+    @Volatile
+    private var process: ProcessUnderTest? = null
+
+    @Volatile
+    private var endingProcess: ProcessUnderTest? = null
+
+    @Volatile
+    var run = 0
+        private set
+
+    val address: InetSocketAddress = addressOf(settings.callers)
+
+    fun start() {
+        write(settings.limits)
+        process?.close()
+        process = ProcessUnderTest.start("$name-soak", "yuccaferry.gateway.app.MainKt", listOf(file.path), HEAP_MEGABYTES)
+        run++
+    }
+
+    fun signal(signal: Signal) {
+        val current = process?.takeIf { it.alive } ?: return
+        if (signal == Signal.KILL || signal == Signal.TERM) endingProcess = current
+        current.signal(signal)
+    }
+
+    /** Waits for the end of the process, if one has been told to end, and starts it again. */
+    fun awaitEndAndStart() {
+        val ending = endingProcess ?: return
+        ending.awaitEnd()
+        endingProcess = null
+        start()
+    }
+
+    fun write(limits: GatewayLimits) = file.writeText(Json.encodeToString(GatewaySettings.serializer(), settings.copy(limits = limits)))
+
+    fun reload() {
+        write(settings.limits.copy(repeatReserve = settings.limits.repeatReserve + run))
+        signal(Signal.HUP)
+    }
+
+    fun close() {
+        process?.close()
+        storeLink.stop()
+        file.delete()
+    }
+
+    private companion object {
+        const val HEAP_MEGABYTES = 64
+    }
+}
+
+/** A target behind its proxy. */
+internal class SoakTarget(
+    val runner: RunnerStandIn,
+    val link: TcpProxy,
+    val address: String,
+)
+
+internal class SoakFleet(
+    private val loop: EventLoop,
+) {
+    val store = StoreStandIn(loop)
+    val daemons = mutableListOf<SoakDaemon>()
+    val targets = mutableListOf<SoakTarget>()
+
+    /** The newest configuration that was written. */
+    var version = 0
+        private set
+    private var restarts = 0
+
+    suspend fun start() {
+        val storeAddress = store.start()
+        repeat(TARGETS) { targets += target(it) }
+        targets.forEach { list(it) }
+        configure()
+        repeat(DAEMONS) { daemons += daemon(it, HostPort("127.0.0.1", storeAddress.port)) }
+        withContext(Dispatchers.IO) { daemons.forEach { it.start() } }
+    }
+
+    fun configure() {
+        version++
+        store.put(StandInKeys.CONFIGURATION, configurationDocument(version, KEY))
+    }
+
+    fun list(
+        target: SoakTarget,
+        isLeaving: Boolean = false,
+    ) = store.put(StandInKeys.TARGETS + target.runner.id, target.runner.entry(target.address, isLeaving))
+
+    /** The target says that it leaves, leaves, and comes back as a new run. */
+    suspend fun drain(
+        target: SoakTarget,
+        millis: Long,
+    ) {
+        list(target, isLeaving = true)
+        delay(millis)
+        store.remove(StandInKeys.TARGETS + target.runner.id)
+        target.runner.restart("${target.runner.service}-again-${++restarts}")
+        list(target)
+    }
+
+    fun close() {
+        daemons.forEach { it.close() }
+        targets.forEach { it.link.stop() }
+    }
+
+    private suspend fun target(number: Int): SoakTarget {
+        val service = if (number % 2 == 0) "plain" else "engines"
+        val runner = RunnerStandIn(loop, "$service-$number", service, zone = if (number < 2) ZONE else "other")
+        val link = TcpProxy(ANY_PORT, HostPort("127.0.0.1", runner.start().port))
+        return SoakTarget(runner, link, link.start().toString())
+    }
+
+    private suspend fun daemon(
+        number: Int,
+        storeAddress: HostPort,
+    ): SoakDaemon {
+        val link = TcpProxy(ANY_PORT, storeAddress)
+        val ports = freePorts()
+        val settings =
+            GatewaySettings(
+                settingsVersion = 1,
+                name = "d$number",
+                zone = ZONE,
+                callers = "127.0.0.1:${ports[0]}",
+                readiness = "127.0.0.1:${ports[1]}",
+                metrics = "127.0.0.1:${ports[2]}",
+                host = "127.0.0.1",
+                internalPorts = listOf(ports[3]),
+                store = link.start().toString(),
+                limits =
+                    GatewayLimits(
+                        coldBurstFactor = 1.5,
+                        coldTolerance = 5.0,
+                        repeatRatio = 0.2,
+                        repeatReserve = 200.0,
+                        repeatWindowSeconds = 10.0,
+                        graceSeconds = 8.0,
+                    ),
+            )
+        return SoakDaemon("d$number", settings, link)
+    }
+
+    internal companion object {
+        const val DAEMONS = 4
+        const val TARGETS = 6
+        const val KEY = "key"
+        const val ZONE = "z"
+        private val ANY_PORT = HostPort("127.0.0.1", 0)
+
+        private fun freePorts(): List<Int> {
+            val sockets = List(4) { ServerSocket(0) }
+            return sockets.map { it.localPort }.also { sockets.forEach { it.close() } }
+        }
+    }
+}
+
+internal fun addressOf(hostPort: String) = InetSocketAddress(hostPort.substringBefore(':'), hostPort.substringAfter(':').toInt())
+
+/** The faults of a link whose bytes are held in one direction. */
+internal fun heldFaults(isUpward: Boolean) = ProxyFaults(oneWay = if (isUpward) Direction.UP else Direction.DOWN)
--- /dev/null
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakRun.kt
@@ -0,0 +1,206 @@
+/*
+ * One soak run: callers send requests without pause while the plan's faults come and go; then everything is healed and all daemons
+ * must serve the newest configuration.
+ */
+package yuccaferry.integration.soak
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import yuccaferry.gateway.net.EventLoop
+import yuccaferry.integration.Signal
+import yuccaferry.platform.Answer
+import yuccaferry.platform.Ask
+import yuccaferry.platform.CallerStandIn
+import yuccaferry.platform.StandInKeys
+import yuccaferry.platform.StoreStandIn
+import yuccaferry.standin.proxy.ProxyFaults
+import kotlin.random.Random
+
+/** One request and what became of it; times in ms after the start of traffic. */
+internal class Told(
+    val ask: Ask,
+    val daemon: Int,
+    val daemonRun: Int,
+    val sentMillis: Long,
+    val endMillis: Long,
+    val answer: Answer,
+)
+
+/** Runs the plan of [seed] for [lengthMillis] of traffic. */
+internal class SoakRun(
+    private val loop: EventLoop,
+    private val seed: Long,
+    private val lengthMillis: Long,
+) {
+    val fleet = SoakFleet(loop)
+    val plan = planOf(seed, lengthMillis, SoakFleet.DAEMONS, SoakFleet.TARGETS)
+    val told = mutableListOf<Told>()
+
+    /** Daemons that did not serve the newest configuration after everything was healed. */
+    var unhealed = emptyList<Int>()
+        private set
+    private var start = loop.now()
+    private var asked = 0
+
+    suspend fun run(scope: CoroutineScope) {
+        fleet.start()
+        awaitNewest()
+        start = loop.now()
+        val callers = List(CALLERS) { number -> scope.launch { call(number) } }
+        val faults = plan.map { scope.launch { inject(it) } }
+        (callers + faults).joinAll()
+        heal()
+        unhealed = awaitNewest()
+    }
+
+    private fun elapsed() = loop.now() - start
+
+    private suspend fun call(number: Int) {
+        val random = Random(seed * CALLERS + number)
+        val caller = CallerStandIn(loop, SoakFleet.KEY)
+        while (elapsed() < lengthMillis) {
+            val daemon = random.nextInt(SoakFleet.DAEMONS)
+            val newest = fleet.version
+            val ask =
+                when (random.nextInt(PATHS)) {
+                    0, 1 -> ask("/book/x", BOOKING_MILLIS)
+                    2 -> ask("/safe/x", BOOKING_MILLIS)
+                    3 -> ask("/v${random.nextInt(1, newest + 1)}/x", BOOKING_MILLIS)
+                    else -> ask("/read/x", STREAM_MILLIS, isStream = true)
+                }
+            send(caller, daemon, ask)
+            delay(random.nextLong(LONGEST_PAUSE_MILLIS))
+        }
+    }
+
+    private fun ask(
+        path: String,
+        remainingMillis: Long,
+        isStream: Boolean = false,
+    ) = Ask("a${++asked}", path, remainingMillis, isStream)
+
+    private suspend fun send(
+        caller: CallerStandIn,
+        daemon: Int,
+        ask: Ask,
+    ): Answer {
+        val sent = elapsed()
+        val run = fleet.daemons[daemon].run
+        val answer = caller.ask(fleet.daemons[daemon].address, ask)
+        told += Told(ask, daemon, run, sent, elapsed(), answer)
+        return answer
+    }
+
+    private suspend fun inject(timed: TimedFault) {
+        delay(timed.atMillis)
+        when (val fault = timed.fault) {
+            is Fault.KillDaemon -> signal(fault.daemon, Signal.KILL).also { restart(fault.daemon) }
+            is Fault.StopDaemon -> signal(fault.daemon, Signal.TERM).also { restart(fault.daemon) }
+            is Fault.ReloadSettings -> withContext(Dispatchers.IO) { fleet.daemons[fault.daemon].reload() }
+            is Fault.PauseDaemon -> between(timed, { signal(fault.daemon, Signal.STOP) }, { signal(fault.daemon, Signal.CONT) })
+            is Fault.CutStoreLink -> onLink(timed, fault.daemon, ProxyFaults(cut = true))
+            is Fault.SilenceStoreLink -> onLink(timed, fault.daemon, heldFaults(fault.isUpward))
+            is Fault.DelayStoreLink -> onLink(timed, fault.daemon, ProxyFaults(delayMs = fault.delayMillis))
+            Fault.RefuseAtStore -> onStore(timed, StoreStandIn.Mode.BUSY)
+            Fault.SilenceStore -> onStore(timed, StoreStandIn.Mode.SILENT)
+            Fault.ForgetHistory -> fleet.store.forgetHistory()
+            is Fault.CutTarget -> onTarget(timed, fault.target, ProxyFaults(cut = true))
+            is Fault.SilenceTarget -> onTarget(timed, fault.target, ProxyFaults(freeze = true))
+            is Fault.LoseAnswers -> fleet.targets[fault.target].runner.let { between(timed, { it.losesAnswers = true }, { it.losesAnswers = false }) }
+            is Fault.CutAnswers -> fleet.targets[fault.target].runner.let { between(timed, { it.cutsAnswers = true }, { it.cutsAnswers = false }) }
+            is Fault.DrainTarget -> fleet.drain(fleet.targets[fault.target], timed.forMillis)
+            Fault.Configure -> fleet.configure()
+            Fault.TakeZoneOut ->
+                between(
+                    timed,
+                    { fleet.store.put(StandInKeys.ZONES_OUT + SoakFleet.ZONE, "{}") },
+                    { fleet.store.remove(StandInKeys.ZONES_OUT + SoakFleet.ZONE) },
+                )
+        }
+    }
+
+    private suspend fun between(
+        timed: TimedFault,
+        begin: suspend () -> Unit,
+        end: suspend () -> Unit,
+    ) {
+        begin()
+        delay(timed.forMillis)
+        end()
+    }
+
+    private suspend fun onLink(
+        timed: TimedFault,
+        daemon: Int,
+        faults: ProxyFaults,
+    ) = fleet.daemons[daemon].storeLink.let { link -> between(timed, { link.set(faults) }, { link.set(ProxyFaults()) }) }
+
+    private suspend fun onTarget(
+        timed: TimedFault,
+        target: Int,
+        faults: ProxyFaults,
+    ) = fleet.targets[target].link.let { link -> between(timed, { link.set(faults) }, { link.set(ProxyFaults()) }) }
+
+    private suspend fun onStore(
+        timed: TimedFault,
+        mode: StoreStandIn.Mode,
+    ) = between(timed, { fleet.store.mode = mode }, { fleet.store.mode = StoreStandIn.Mode.SERVING })
+
+    private suspend fun signal(
+        daemon: Int,
+        signal: Signal,
+    ) = withContext(Dispatchers.IO) { fleet.daemons[daemon].signal(signal) }
+
+    /** Starts the daemon again when it has ended; of several restarts at a time each waits for the one before. */
+    private suspend fun restart(daemon: Int) =
+        withContext(Dispatchers.IO) { synchronized(fleet.daemons[daemon]) { fleet.daemons[daemon].awaitEndAndStart() } }
+
+    private suspend fun heal() {
+        fleet.store.mode = StoreStandIn.Mode.SERVING
+        fleet.store.remove(StandInKeys.ZONES_OUT + SoakFleet.ZONE)
+        fleet.daemons.forEach { it.storeLink.set(ProxyFaults()) }
+        fleet.targets.forEach {
+            it.link.set(ProxyFaults())
+            it.runner.losesAnswers = false
+            it.runner.cutsAnswers = false
+            fleet.list(it)
+        }
+        fleet.daemons.indices.forEach { signal(it, Signal.CONT) }
+    }
+
+    /** Waits until all daemons serve the newest route; returns those that don't. */
+    private suspend fun awaitNewest(): List<Int> {
+        val caller = CallerStandIn(loop, SoakFleet.KEY)
+        return fleet.daemons.indices.filter { daemon ->
+            val served =
+                withTimeoutOrNull(HEAL_MILLIS) {
+                    while (isActive && send(caller, daemon, ask("/v${fleet.version}/x", BOOKING_MILLIS)).status != OK) delay(POLL_MILLIS)
+                    true
+                }
+            served != true
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+        const val CALLERS = 12
+        const val PATHS = 6
+
+        /** Milliseconds that callers wait for a call and for a stream. */
+        const val BOOKING_MILLIS = 1_500L
+        const val STREAM_MILLIS = 6_000L
+
+        /** Milliseconds of the longest pause of a caller between two requests. */
+        const val LONGEST_PAUSE_MILLIS = 60L
+
+        /** Milliseconds within which an accepted configuration is in force everywhere (first letter). */
+        const val HEAL_MILLIS = 15_000L
+        const val POLL_MILLIS = 50L
+    }
+}
--- a/standin/src/main/kotlin/yuccaferry/standin/proxy/ProxyFaults.kt
+++ b/standin/src/main/kotlin/yuccaferry/standin/proxy/ProxyFaults.kt
@@ -6,7 +6,7 @@
 
 /** Direction of bytes through the proxy. */
 @Serializable
-internal enum class Direction {
+enum class Direction {
     @SerialName("up")
     UP,
 
@@ -25,7 +25,7 @@
  * @property dropAnswer closes one connection, once, when the next bytes of an answer arrive.
  */
 @Serializable
-internal data class ProxyFaults(
+data class ProxyFaults(
     val cut: Boolean = false,
     val freeze: Boolean = false,
     val oneWay: Direction? = null,
@@ -44,7 +44,7 @@
  * @property cuts connections closed by a fault.
  */
 @Serializable
-internal data class ProxyStats(
+data class ProxyStats(
     val accepted: Long,
     val open: Int,
     val bytesUp: Long,
--- a/standin/src/main/kotlin/yuccaferry/standin/proxy/TcpProxy.kt
+++ b/standin/src/main/kotlin/yuccaferry/standin/proxy/TcpProxy.kt
@@ -34,7 +34,7 @@
 private const val BUFFER_BYTES = 16 * 1024
 
 /** Passes connections that arrive at [listen] on to [target]. */
-internal class TcpProxy(
+class TcpProxy(
     private val listen: HostPort,
     private val target: HostPort,
 ) {
--- a/standin/src/main/kotlin/yuccaferry/standin/server/HostPort.kt
+++ b/standin/src/main/kotlin/yuccaferry/standin/server/HostPort.kt
@@ -2,7 +2,7 @@
 package yuccaferry.standin.server
 
 /** Host and port, written `host:port`. */
-internal data class HostPort(
+data class HostPort(
     val host: String,
     val port: Int,
 ) {
