Remove what nothing reads from answers, a needless wrapper, and placements built anew for each request

AnswerHead's load and cold time were parsed for each answer and used by nothing; recordHealth only passed its arguments on; StreamPlacement and its model are now made once for each engine's figures. No behaviour changes; forwarding, placement, health and hold tests run.

--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -50,7 +50,7 @@
 
 /** Places prompts by the predicted times of [model]. */
 class StreamPlacement(
-    private val model: EngineModel,
+    val model: EngineModel,
 ) {
     private val long = LongPlacement(model)
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/port/RequestFormat.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/port/RequestFormat.kt
@@ -68,18 +68,9 @@
     val isSigned: Boolean,
     val isEncoded: Boolean,
     val hasNotRun: Boolean,
-    val load: ReportedLoad?,
-    val coldMillis: Long?,
     val faultyAddress: String?,
 )
 
-/** Load that a target reported with an answer. */
-data class ReportedLoad(
-    val running: Int,
-    val waiting: Int,
-    val slots: Int,
-)
-
 /** Reads and writes the headers. */
 interface RequestFormat {
     /** What [request] states. */
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
@@ -47,20 +47,14 @@
             val result = attempt(request, target)
             ends += result.end
             log.ended(request, target, result.end, start, loop.now())
-            recordHealth(target, result.end)
+            health.record(target, result.end, loop.now())
             if (result.end != AttemptEnd.NotSent) sent++
             val answer = result.answer
             if (answer != null && (answer.status < SERVER_ERROR || !request.route.kind.isIdempotent)) return pass(answer, reply)
             failure = answer ?: failure
-            val again =
-                if (result.end ==
-                    AttemptEnd.NotSent
-                ) {
-                    ends.size < MOST_TARGETS
-                } else {
-                    repeats.take(request, result.end, sent, loop.now())
-                }
-            if (!again) break
+            val isUnreached = result.end == AttemptEnd.NotSent
+            val mayTryAgain = if (isUnreached) ends.size < MOST_TARGETS else repeats.take(request, result.end, sent, loop.now())
+            if (!mayTryAgain) break
         }
         failure?.let { return pass(it, reply) }
         val answer = finalAnswer(ends, RETRY_AFTER_MILLIS)
@@ -118,11 +112,6 @@
         }
     }
 
-    private fun recordHealth(
-        target: Target,
-        end: AttemptEnd,
-    ) = health.record(target, end, loop.now())
-
     private class CallResult(
         val end: AttemptEnd,
         val answer: WholeAnswer? = null,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -2,8 +2,6 @@
 package yuccaferry.gateway.request
 
 import kotlinx.coroutines.withTimeoutOrNull
-import yuccaferry.decisions.dispatch.EngineModel
-import yuccaferry.decisions.dispatch.StreamPlacement
 import yuccaferry.decisions.forward.AttemptEnd
 import yuccaferry.decisions.routing.EngineFigures
 import yuccaferry.gateway.net.CallerReply
@@ -34,7 +32,6 @@
     private val progress: StreamProgress,
     private val reply: CallerReply,
 ) {
-    private val model = EngineModel(figures)
     private val splitter = EventSplitter()
     private var isFirst = true
     private val mainWork: Work
@@ -52,8 +49,9 @@
     init {
         val parts = placement.helpers.size + 1
         val tokens = request.head.promptTokens
-        val isLong = StreamPlacement(model).isLong(tokens)
-        val read = model.readMillis(tokens, parts)
+        val placing = selector.placementOf(figures)
+        val isLong = placing.isLong(tokens)
+        val read = placing.model.readMillis(tokens, parts)
         mainWork = Work(placement.main.id, tokens + request.head.answerTokens, isLong, read, loop.now())
         helperWork = placement.helpers.map { Work(it.target.id, maxOf(it.reservedTokens, tokens / parts), isLong, read, loop.now()) }
         holds =
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -29,6 +29,7 @@
     private val random: Random,
 ) {
     private val cold = HashMap<TargetId, ColdLimit>()
+    private val placements = HashMap<EngineFigures, StreamPlacement>()
 
     /** Where the prompt of [request] is read; null when no engine may get it. */
     fun place(
@@ -46,7 +47,7 @@
                 waitedMillis = now - request.arrival,
                 patienceMillis = request.deadline - now,
             )
-        val placing = StreamPlacement(EngineModel(figures))
+        val placing = placementOf(figures)
         val plan = placing.place(prompt, targets.map { loadOf(it, now) }, random.nextDouble()) ?: return null
         val shouldWait = tried.isEmpty() && placing.shouldWait(prompt, plan)
         val byId = targets.associateBy { it.id }
@@ -58,6 +59,9 @@
         )
     }
 
+    /** Places prompts on engines with [figures]. */
+    fun placementOf(figures: EngineFigures): StreamPlacement = placements.getOrPut(figures) { StreamPlacement(EngineModel(figures)) }
+
     /** The target for a plain call; null when none may get it. */
     fun call(
         service: ServiceDefinition,
