--- a/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakChecks.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakChecks.kt
@@ -19,11 +19,12 @@
 ): List<String> {
     val answer = told.answer
     val isBooking = told.ask.path.startsWith("/book/")
-    val what = "${told.ask.id} ${told.ask.path} at daemon ${told.daemon}, ${told.sentMillis} to ${told.endMillis} ms, status ${answer.status}"
+    val where = "${told.ask.id} ${told.ask.path} at daemon ${told.daemon}"
+    val what = "$where, ${told.sentMillis} to ${told.endMillis} ms, status ${answer.status}"
     return buildList {
         if (isBooking && runs > 1) add("$what: ran $runs times")
         if (isBooking && answer.status in NOT_RUN && runs > 0) add("$what: was told not run and ran $runs times")
-        if (answer.status == OK && answer.isWhole && !isOwnAnswer(told)) add("$what: got another answer: ${answer.body.take(LOGGED_CHARACTERS)}")
+        if (answer.status == OK && answer.isWhole && !isOwnAnswer(told)) add("$what: got ${answer.body.take(LOGGED_CHARACTERS)}")
         if (answer.status in OWN_REFUSALS) add("$what: refused though it is allowed")
         if (answer.isLate && !isDisturbed(told, run)) add("$what: had no final answer in its time")
         if (isCutByPlannedWork(told, runs, run)) add("$what: cut by planned work")
@@ -43,7 +44,8 @@
     run: SoakRun,
 ): Boolean =
     run.plan.any { timed ->
-        val here = timed.fault.daemon == null || timed.fault.daemon == told.daemon
+        val daemon = (timed.fault as? Fault.AtDaemon)?.daemon
+        val here = daemon == null || daemon == told.daemon
         here && !timed.fault.isPlanned && timed.touches(told.sentMillis, told.endMillis)
     }
 
@@ -67,9 +69,13 @@
             when {
                 // Requests whose caller has not been told anything are still on their way at the end.
                 ask == null -> null
+
                 ask.path != arrival.path -> "${arrival.request} arrived at ${runner.id} with path ${arrival.path}"
+
                 arrival.hasKey || arrival.account != "account" -> "${arrival.request} arrived with a key or as ${arrival.account}"
+
                 ask.isStream != (runner.service == "engines") -> "${arrival.request} arrived at ${runner.id} of another service"
+
                 else -> null
             }
         }
@@ -81,7 +87,10 @@
     val probes = told.filter { it.ask.path.startsWith("/v") }.groupBy { Triple(it.daemon, it.daemonRun, it.ask.path) }
     return probes.flatMap { (where, list) ->
         val served = list.filter { it.answer.status == OK }.minOfOrNull { it.endMillis } ?: return@flatMap emptyList()
-        list.filter { it.answer.status == NOT_FOUND && it.sentMillis > served }.map { "daemon ${where.first} went back behind ${where.third}" }
+        list
+            .filter {
+                it.answer.status == NOT_FOUND && it.sentMillis > served
+            }.map { "daemon ${where.first} went back behind ${where.third}" }
     }
 }
 
--- a/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakPlan.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakPlan.kt
@@ -5,79 +5,90 @@
 
 /** One disturbance from outside the daemons; numbers name daemons and targets by their position. */
 internal sealed class Fault {
-    /** The daemon that it touches, or null when it touches all or none. */
-    open val daemon: Int? get() = null
-
     /** Whether it is planned work, which must cut no request. */
     open val isPlanned: Boolean get() = false
 
+    /** Touches one daemon. */
+    sealed class AtDaemon : Fault() {
+        abstract val daemon: Int
+    }
+
     data class KillDaemon(
         override val daemon: Int,
-    ) : Fault()
+    ) : AtDaemon()
 
     data class PauseDaemon(
         override val daemon: Int,
-    ) : Fault()
+    ) : AtDaemon()
 
     data class StopDaemon(
         override val daemon: Int,
-    ) : Fault() {
+    ) : AtDaemon() {
         override val isPlanned = true
     }
 
     data class ReloadSettings(
         override val daemon: Int,
-    ) : Fault() {
+    ) : AtDaemon() {
         override val isPlanned = true
     }
 
     data class CutStoreLink(
         override val daemon: Int,
-    ) : Fault()
+    ) : AtDaemon()
 
     data class SilenceStoreLink(
         override val daemon: Int,
         val isUpward: Boolean,
-    ) : Fault()
+    ) : AtDaemon()
 
     data class DelayStoreLink(
         override val daemon: Int,
         val delayMillis: Long,
-    ) : Fault()
+    ) : AtDaemon()
+
+    /** Touches the store for all. */
+    sealed class AtStore : Fault()
+
+    data object RefuseAtStore : AtStore()
+
+    data object SilenceStore : AtStore()
+
+    data object ForgetHistory : AtStore()
+
+    /** What operators do. */
+    sealed class ByOperators : AtStore() {
+        override val isPlanned = true
+    }
 
-    data object RefuseAtStore : Fault()
+    data object Configure : ByOperators()
 
-    data object SilenceStore : Fault()
+    data object TakeZoneOut : ByOperators()
 
-    data object ForgetHistory : Fault()
+    /** Touches one target. */
+    sealed class AtTarget : Fault() {
+        abstract val target: Int
+    }
 
     data class CutTarget(
-        val target: Int,
-    ) : Fault()
+        override val target: Int,
+    ) : AtTarget()
 
     data class SilenceTarget(
-        val target: Int,
-    ) : Fault()
+        override val target: Int,
+    ) : AtTarget()
 
     data class LoseAnswers(
-        val target: Int,
-    ) : Fault()
+        override val target: Int,
+    ) : AtTarget()
 
     data class CutAnswers(
-        val target: Int,
-    ) : Fault()
+        override val target: Int,
+    ) : AtTarget()
 
     data class DrainTarget(
-        val target: Int,
-    ) : Fault() {
-        override val isPlanned = true
-    }
-
-    data object Configure : Fault() {
-        override val isPlanned = true
-    }
-
-    data object TakeZoneOut : Fault() {
+        override val target: Int,
+    ) : AtTarget() {
         override val isPlanned = true
     }
 }
@@ -119,32 +130,31 @@
     random: Random,
     daemons: Int,
     targets: Int,
-): Fault {
-    val daemon = random.nextInt(daemons)
-    val target = random.nextInt(targets)
-    return when (random.nextInt(KINDS)) {
-        0 -> Fault.KillDaemon(daemon)
-        1 -> Fault.PauseDaemon(daemon)
-        2, 3 -> Fault.StopDaemon(daemon)
-        4 -> Fault.ReloadSettings(daemon)
-        5 -> Fault.CutStoreLink(daemon)
-        6 -> Fault.SilenceStoreLink(daemon, isUpward = random.nextBoolean())
-        7 -> Fault.DelayStoreLink(daemon, delayMillis = random.nextLong(MOST_DELAY_MILLIS))
-        8 -> Fault.RefuseAtStore
-        9 -> Fault.SilenceStore
-        10 -> Fault.ForgetHistory
-        11 -> Fault.CutTarget(target)
-        12 -> Fault.SilenceTarget(target)
-        13 -> Fault.LoseAnswers(target)
-        14 -> Fault.CutAnswers(target)
-        15 -> Fault.DrainTarget(target)
-        16 -> Fault.TakeZoneOut
-        else -> Fault.Configure
-    }
-}
-
-/** Cases of [draw]; configurations are drawn twice as often as others. */
-private const val KINDS = 19
+): Fault = KINDS[random.nextInt(KINDS.size)](random, random.nextInt(daemons), random.nextInt(targets))
+
+/** Makes each kind of fault for a daemon and a target; stops and configurations come twice as often as others. */
+private val KINDS: List<(Random, daemon: Int, target: Int) -> Fault> =
+    listOf(
+        { _, daemon, _ -> Fault.KillDaemon(daemon) },
+        { _, daemon, _ -> Fault.PauseDaemon(daemon) },
+        { _, daemon, _ -> Fault.StopDaemon(daemon) },
+        { _, daemon, _ -> Fault.StopDaemon(daemon) },
+        { _, daemon, _ -> Fault.ReloadSettings(daemon) },
+        { _, daemon, _ -> Fault.CutStoreLink(daemon) },
+        { random, daemon, _ -> Fault.SilenceStoreLink(daemon, isUpward = random.nextBoolean()) },
+        { random, daemon, _ -> Fault.DelayStoreLink(daemon, delayMillis = random.nextLong(MOST_DELAY_MILLIS)) },
+        { _, _, _ -> Fault.RefuseAtStore },
+        { _, _, _ -> Fault.SilenceStore },
+        { _, _, _ -> Fault.ForgetHistory },
+        { _, _, target -> Fault.CutTarget(target) },
+        { _, _, target -> Fault.SilenceTarget(target) },
+        { _, _, target -> Fault.LoseAnswers(target) },
+        { _, _, target -> Fault.CutAnswers(target) },
+        { _, _, target -> Fault.DrainTarget(target) },
+        { _, _, _ -> Fault.TakeZoneOut },
+        { _, _, _ -> Fault.Configure },
+        { _, _, _ -> Fault.Configure },
+    )
 
 /** Milliseconds of a run for each fault, so that they overlap. */
 private const val MILLIS_PER_FAULT = 700L
--- a/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakRun.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakRun.kt
@@ -100,28 +100,53 @@
     private suspend fun inject(timed: TimedFault) {
         delay(timed.atMillis)
         when (val fault = timed.fault) {
-            is Fault.KillDaemon -> signal(fault.daemon, Signal.KILL).also { restart(fault.daemon) }
-            is Fault.StopDaemon -> signal(fault.daemon, Signal.TERM).also { restart(fault.daemon) }
-            is Fault.ReloadSettings -> withContext(Dispatchers.IO) { fleet.daemons[fault.daemon].reload() }
-            is Fault.PauseDaemon -> between(timed, { signal(fault.daemon, Signal.STOP) }, { signal(fault.daemon, Signal.CONT) })
-            is Fault.CutStoreLink -> onLink(timed, fault.daemon, ProxyFaults(cut = true))
-            is Fault.SilenceStoreLink -> onLink(timed, fault.daemon, heldFaults(fault.isUpward))
-            is Fault.DelayStoreLink -> onLink(timed, fault.daemon, ProxyFaults(delayMs = fault.delayMillis))
+            is Fault.AtDaemon -> injectAtDaemon(fault, timed)
+            is Fault.AtStore -> injectAtStore(fault, timed)
+            is Fault.AtTarget -> injectAtTarget(fault, timed)
+        }
+    }
+
+    private suspend fun injectAtDaemon(
+        fault: Fault.AtDaemon,
+        timed: TimedFault,
+    ) {
+        val daemon = fault.daemon
+        when (fault) {
+            is Fault.KillDaemon -> signal(daemon, Signal.KILL).also { restart(daemon) }
+            is Fault.StopDaemon -> signal(daemon, Signal.TERM).also { restart(daemon) }
+            is Fault.ReloadSettings -> withContext(Dispatchers.IO) { fleet.daemons[daemon].reload() }
+            is Fault.PauseDaemon -> between(timed, { signal(daemon, Signal.STOP) }, { signal(daemon, Signal.CONT) })
+            is Fault.CutStoreLink -> onLink(timed, daemon, ProxyFaults(cut = true))
+            is Fault.SilenceStoreLink -> onLink(timed, daemon, heldFaults(fault.isUpward))
+            is Fault.DelayStoreLink -> onLink(timed, daemon, ProxyFaults(delayMs = fault.delayMillis))
+        }
+    }
+
+    private suspend fun injectAtStore(
+        fault: Fault.AtStore,
+        timed: TimedFault,
+    ) {
+        val zoneKey = StandInKeys.ZONES_OUT + SoakFleet.ZONE
+        when (fault) {
             Fault.RefuseAtStore -> onStore(timed, StoreStandIn.Mode.BUSY)
             Fault.SilenceStore -> onStore(timed, StoreStandIn.Mode.SILENT)
             Fault.ForgetHistory -> fleet.store.forgetHistory()
-            is Fault.CutTarget -> onTarget(timed, fault.target, ProxyFaults(cut = true))
-            is Fault.SilenceTarget -> onTarget(timed, fault.target, ProxyFaults(freeze = true))
-            is Fault.LoseAnswers -> fleet.targets[fault.target].runner.let { between(timed, { it.losesAnswers = true }, { it.losesAnswers = false }) }
-            is Fault.CutAnswers -> fleet.targets[fault.target].runner.let { between(timed, { it.cutsAnswers = true }, { it.cutsAnswers = false }) }
-            is Fault.DrainTarget -> fleet.drain(fleet.targets[fault.target], timed.forMillis)
             Fault.Configure -> fleet.configure()
-            Fault.TakeZoneOut ->
-                between(
-                    timed,
-                    { fleet.store.put(StandInKeys.ZONES_OUT + SoakFleet.ZONE, "{}") },
-                    { fleet.store.remove(StandInKeys.ZONES_OUT + SoakFleet.ZONE) },
-                )
+            Fault.TakeZoneOut -> between(timed, { fleet.store.put(zoneKey, "{}") }, { fleet.store.remove(zoneKey) })
+        }
+    }
+
+    private suspend fun injectAtTarget(
+        fault: Fault.AtTarget,
+        timed: TimedFault,
+    ) {
+        val target = fleet.targets[fault.target]
+        when (fault) {
+            is Fault.CutTarget -> onTarget(timed, target, ProxyFaults(cut = true))
+            is Fault.SilenceTarget -> onTarget(timed, target, ProxyFaults(freeze = true))
+            is Fault.LoseAnswers -> between(timed, { target.runner.losesAnswers = true }, { target.runner.losesAnswers = false })
+            is Fault.CutAnswers -> between(timed, { target.runner.cutsAnswers = true }, { target.runner.cutsAnswers = false })
+            is Fault.DrainTarget -> fleet.drain(target, timed.forMillis)
         }
     }
 
@@ -143,9 +168,9 @@
 
     private suspend fun onTarget(
         timed: TimedFault,
-        target: Int,
+        target: SoakTarget,
         faults: ProxyFaults,
-    ) = fleet.targets[target].link.let { link -> between(timed, { link.set(faults) }, { link.set(ProxyFaults()) }) }
+    ) = between(timed, { target.link.set(faults) }, { target.link.set(ProxyFaults()) })
 
     private suspend fun onStore(
         timed: TimedFault,
