--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
@@ -28,6 +28,7 @@
 
 private const val SETTINGS_VARIABLE = "YUCCAFERRY_NODE_FILE"
 private const val EXIT_USAGE = 2
+private const val EXIT_START = 3
 
 fun main(arguments: Array<String>) {
     val parser = ArgParser("yuccaferry-gateway")
@@ -93,15 +94,21 @@
             telemetry,
             random,
         )
-    runBlocking(loop.scope.coroutineContext) {
-        daemon.listen(
-            callersAddress = address("callers", settings.callers),
-            readinessAddress = address("readiness", settings.readiness),
-            metricsAddress = address("metrics", settings.metrics),
-            metrics = telemetry::scrape,
-        )
-        daemon.peers.open(peerAddress)
-        platform.start()
+    try {
+        runBlocking(loop.scope.coroutineContext) {
+            daemon.listen(
+                callersAddress = address("callers", settings.callers),
+                readinessAddress = address("readiness", settings.readiness),
+                metricsAddress = address("metrics", settings.metrics),
+                metrics = telemetry::scrape,
+            )
+            daemon.peers.open(peerAddress)
+            platform.start()
+        }
+    } catch (unavailable: IOException) {
+        // The event loop's thread would keep a process alive that answers 503 for good.
+        System.err.println("start failed: ${unavailable.message}; addresses are in the settings")
+        Runtime.getRuntime().halt(EXIT_START)
     }
     telemetry.event("started", Field("after_ms", System.currentTimeMillis() - ManagementFactory.getRuntimeMXBean().startTime))
     loop.scope.launch { file.follow(telemetry) }
