Let calls and streams share the bookkeeping of attempts

CallForwarder and StreamForwarder held the same loop twice: what ended how, who was tried, how many were sent, whether another attempt may follow, and the refusal at the end. A whole answer and what is done with it, and what an end says of a target's health, now stand with their own types. No behaviour changes.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -15,6 +15,7 @@
 import yuccaferry.gateway.port.EngineMemory
 import yuccaferry.gateway.port.RequestFormat
 import yuccaferry.gateway.request.AttemptLog
+import yuccaferry.gateway.request.AttemptTracker
 import yuccaferry.gateway.request.CallForwarder
 import yuccaferry.gateway.request.Gateway
 import yuccaferry.gateway.request.Repeats
@@ -50,10 +51,9 @@
     private val connector = ServerConnector(loop)
     private val health = TargetHealth()
     private val selector = TargetSelector(fleet, board, health, zone, limits, random)
-    private val repeats = Repeats(fleet, limits)
-    private val log = AttemptLog(telemetry)
-    private val calls = CallForwarder(loop, connector, format, selector, health, repeats, board, log)
-    private val streams = StreamForwarder(loop, connector, format, selector, health, repeats, board, memory, log, random)
+    private val tracker = AttemptTracker(loop, format, health, Repeats(fleet, limits), AttemptLog(telemetry))
+    private val calls = CallForwarder(loop, connector, format, selector, tracker, board)
+    private val streams = StreamForwarder(loop, connector, format, selector, tracker, board, memory, random)
     private val gateway = Gateway(loop, fleet, format, calls, streams, telemetry, random)
     private val callers = CallerServer(loop, ::callerLimits, gateway)
     private val readiness =
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
@@ -3,7 +3,6 @@
 
 import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.decisions.forward.AttemptEnd
-import yuccaferry.decisions.forward.finalAnswer
 import yuccaferry.decisions.routing.isIdempotent
 import yuccaferry.gateway.net.CallerReply
 import yuccaferry.gateway.net.EventLoop
@@ -15,8 +14,6 @@
 import yuccaferry.gateway.port.RequestFormat
 import yuccaferry.gateway.port.SendDetails
 import yuccaferry.gateway.view.Target
-import yuccaferry.model.MonotonicTime
-import yuccaferry.model.TargetId
 
 /** Forwards safe and unsafe calls. */
 internal class CallForwarder(
@@ -24,50 +21,27 @@
     private val connector: ServerConnector,
     private val format: RequestFormat,
     private val selector: TargetSelector,
-    private val health: TargetHealth,
-    private val repeats: Repeats,
+    private val tracker: AttemptTracker,
     private val board: WorkBoard,
-    private val log: AttemptLog,
 ) {
     /** Answers [request] through [reply]; returns the outcome for the log. */
     suspend fun forward(
         request: AdmittedRequest,
         reply: CallerReply,
     ): String {
-        val ends = mutableListOf<AttemptEnd>()
-        val tried = mutableSetOf<TargetId>()
-        var sent = 0
+        val attempts = tracker.begin(request)
         var failure: WholeAnswer? = null
-        repeats.recordFirst(request, loop.now())
-        while (request.deadline > loop.now()) {
-            val target = selector.call(request.service, tried, loop.now()) ?: break
-            tried += target.id
-            val start = loop.now()
-            log.sent(request, target, ends.size + 1)
+        while (attempts.hasTime) {
+            val target = selector.call(request.service, attempts.tried, loop.now()) ?: break
+            attempts.began(target)
             val result = attempt(request, target)
-            ends += result.end
-            log.ended(request, target, result.end, start, loop.now())
-            health.record(target, result.end, loop.now())
-            if (result.end != AttemptEnd.NotSent) sent++
+            attempts.ended(target, result.end)
             val answer = result.answer
-            if (answer != null && (answer.status < SERVER_ERROR || !request.route.kind.isIdempotent)) return pass(answer, reply)
+            if (answer != null && (answer.status < SERVER_ERROR || !request.route.kind.isIdempotent)) return answer.pass(format, reply)
             failure = answer ?: failure
-            val isUnreached = result.end == AttemptEnd.NotSent
-            val mayTryAgain = if (isUnreached) ends.size < MOST_TARGETS else repeats.take(request, result.end, sent, loop.now())
-            if (!mayTryAgain) break
+            if (!attempts.mayTryAgain(MOST_TARGETS)) break
         }
-        failure?.let { return pass(it, reply) }
-        val answer = finalAnswer(ends, RETRY_AFTER_MILLIS)
-        format.refuse(reply, request.head.id, answer)
-        return "failed:${answer.status}:attempts_${ends.size}"
-    }
-
-    private fun pass(
-        answer: WholeAnswer,
-        reply: CallerReply,
-    ): String {
-        reply.whole(answer.status, format.returnedHeaders(answer.head.headers), answer.body)
-        return "answered:${answer.status}"
+        return failure?.pass(format, reply) ?: attempts.refuse(reply, RETRY_AFTER_MILLIS)
     }
 
     private suspend fun attempt(
@@ -130,45 +104,3 @@
         const val RETRY_AFTER_MILLIS = 100L
     }
 }
-
-/** A target's whole answer. */
-internal class WholeAnswer(
-    val head: ServerReply.Head,
-    val body: ByteArray,
-) {
-    val status: Int get() = head.status
-}
-
-/** The rest of an answer's body; null when it is cut or larger than a plain answer may be. */
-internal suspend fun collectBody(connection: ServerConnection): ByteArray? {
-    val body = java.io.ByteArrayOutputStream()
-    while (body.size() <= MOST_BODY_BYTES) {
-        when (val reply = connection.receive()) {
-            is ServerReply.Piece -> body.writeBytes(reply.bytes)
-            ServerReply.End -> return body.toByteArray()
-            is ServerReply.Head, is ServerReply.Broken -> return null
-        }
-    }
-    return null
-}
-
-/** Adds what [end] says about [target]. */
-internal fun TargetHealth.record(
-    target: Target,
-    end: AttemptEnd,
-    now: MonotonicTime,
-) {
-    val cost =
-        when (end) {
-            AttemptEnd.NotSent -> TargetHealth.UNREACHABLE_MILLIS
-            is AttemptEnd.Broken, AttemptEnd.TimedOut -> TargetHealth.BROKEN_MILLIS
-            is AttemptEnd.Rejected -> TargetHealth.REJECTED_MILLIS
-            is AttemptEnd.Answered -> if (end.status >= SERVER_ERROR_STATUS) TargetHealth.FAILED_MILLIS else 0.0
-        }
-    if (cost > 0) recordFailure(target.id, target.incarnation, cost, now) else recordSuccess(target.id, target.incarnation, now)
-}
-
-private const val SERVER_ERROR_STATUS = 500
-
-/** Bytes of the largest plain answer that is collected; it lies in memory until it is whole. */
-private const val MOST_BODY_BYTES = 4 * 1_024 * 1_024
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -6,8 +6,6 @@
 
 import kotlinx.coroutines.delay
 import yuccaferry.daemon.port.Field
-import yuccaferry.decisions.forward.AttemptEnd
-import yuccaferry.decisions.forward.finalAnswer
 import yuccaferry.decisions.routing.EngineFigures
 import yuccaferry.decisions.routing.RequestKind
 import yuccaferry.gateway.net.CallerReply
@@ -25,11 +23,9 @@
     private val connector: ServerConnector,
     private val format: RequestFormat,
     private val selector: TargetSelector,
-    private val health: TargetHealth,
-    private val repeats: Repeats,
+    private val tracker: AttemptTracker,
     private val board: WorkBoard,
     private val memory: EngineMemory,
-    private val log: AttemptLog,
     private val random: Random,
 ) {
     /** Answers [request] through [reply]; returns the outcome for the log. */
@@ -40,27 +36,19 @@
     ): String {
         val figures = request.service.engine ?: PLAIN_FIGURES
         val progress = StreamProgress(request.head.lastEvent)
-        val ends = mutableListOf<AttemptEnd>()
-        val tried = mutableSetOf<TargetId>()
-        var sent = 0
-        repeats.recordFirst(request, loop.now())
-        while (request.deadline > loop.now()) {
-            val placement = place(request, figures, tried) ?: break
-            val start = loop.now()
-            val isLast = sent + 1 >= request.route.maxAttempts || !kind.resumable
-            log.sent(request, placement.main, ends.size + 1, *inputs(request, placement, progress))
+        val attempts = tracker.begin(request)
+        while (attempts.hasTime) {
+            val placement = place(request, figures, attempts.tried) ?: break
+            val isLast = attempts.sent + 1 >= request.route.maxAttempts || !kind.resumable
+            attempts.began(placement.main, *inputs(request, placement, progress))
             val attempt = StreamAttempt(loop, connector, format, selector, board, memory, request, placement, figures, progress, reply)
             val end = attempt.run(mayWaitLong = isLast)
-            ends += end
-            log.ended(request, placement.main, end, start, loop.now(), *attempt.pace.fields())
-            val blamed = attempt.blamed ?: placement.main
-            tried += blamed.id
-            health.record(blamed, end, loop.now())
-            if (end != AttemptEnd.NotSent) sent++
+            attempts.ended(placement.main, end, attempt.blamed ?: placement.main, *attempt.pace.fields())
             if (reply.isComplete) return "answered:events_${progress.events}"
-            if (!goOn(request, end, sent, ends.size)) break
+            if (!attempts.mayTryAgain(MOST_TARGETS)) break
         }
-        return giveUp(request, reply, progress, ends)
+        if (reply.isStarted) return "cut:events_${progress.events}"
+        return progress.failure?.pass(format, reply) ?: attempts.refuse(reply, RETRY_AFTER_MILLIS)
     }
 
     private suspend fun place(
@@ -76,29 +64,6 @@
         }
     }
 
-    private fun goOn(
-        request: AdmittedRequest,
-        end: AttemptEnd,
-        sent: Int,
-        attempts: Int,
-    ): Boolean = if (end == AttemptEnd.NotSent) attempts < MOST_TARGETS else repeats.take(request, end, sent, loop.now())
-
-    private fun giveUp(
-        request: AdmittedRequest,
-        reply: CallerReply,
-        progress: StreamProgress,
-        ends: List<AttemptEnd>,
-    ): String {
-        if (reply.isStarted) return "cut:events_${progress.events}"
-        progress.failure?.let {
-            reply.whole(it.status, format.returnedHeaders(it.head.headers), it.body)
-            return "answered:${it.status}"
-        }
-        val answer = finalAnswer(ends, RETRY_AFTER_MILLIS)
-        format.refuse(reply, request.head.id, answer)
-        return "failed:${answer.status}:attempts_${ends.size}"
-    }
-
     private fun inputs(
         request: AdmittedRequest,
         placement: Placement,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetHealth.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetHealth.kt
@@ -1,6 +1,8 @@
 // What recent answers and failures say about each target.
 package yuccaferry.gateway.request
 
+import yuccaferry.decisions.forward.AttemptEnd
+import yuccaferry.gateway.view.Target
 import yuccaferry.model.Incarnation
 import yuccaferry.model.MonotonicTime
 import yuccaferry.model.TargetId
@@ -85,3 +87,21 @@
         private const val MOST_MILLIS = 20_000.0
     }
 }
+
+/** Adds what [end] says about [target]. */
+internal fun TargetHealth.record(
+    target: Target,
+    end: AttemptEnd,
+    now: MonotonicTime,
+) {
+    val cost =
+        when (end) {
+            AttemptEnd.NotSent -> TargetHealth.UNREACHABLE_MILLIS
+            is AttemptEnd.Broken, AttemptEnd.TimedOut -> TargetHealth.BROKEN_MILLIS
+            is AttemptEnd.Rejected -> TargetHealth.REJECTED_MILLIS
+            is AttemptEnd.Answered -> if (end.status >= SERVER_ERROR_STATUS) TargetHealth.FAILED_MILLIS else 0.0
+        }
+    if (cost > 0) recordFailure(target.id, target.incarnation, cost, now) else recordSuccess(target.id, target.incarnation, now)
+}
+
+private const val SERVER_ERROR_STATUS = 500
