Give the platform's stand-ins a module, so that the demo builds on a clean clone

Cause: bin/demo builds without tests, and integration-tests needed the test jar of platform, which such a build does not make. Weighed: building test jars for the demo, which compiles tests that it doesn't run and keeps the import of one module's test classes by another. Ran: the tests of platform and what it needs, passed.

--- a/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakChecks.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakChecks.kt
@@ -1,7 +1,7 @@
 // Checks the service's guarantees against the answers of callers and the requests that targets recorded.
 package yuccaferry.integration.soak
 
-import yuccaferry.platform.InstanceStandIn
+import yuccaferry.platform.standin.InstanceStandIn
 
 /** Returns each violation of a guarantee in [run] as one line. */
 internal fun violationsOf(run: SoakRun): List<String> {
--- a/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakFleet.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakFleet.kt
@@ -14,10 +14,10 @@
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.integration.ProcessUnderTest
 import yuccaferry.integration.Signal
-import yuccaferry.platform.InstanceStandIn
-import yuccaferry.platform.StandInKeys
-import yuccaferry.platform.StoreStandIn
-import yuccaferry.platform.configurationDocument
+import yuccaferry.platform.standin.InstanceStandIn
+import yuccaferry.platform.standin.StandInKeys
+import yuccaferry.platform.standin.StoreStandIn
+import yuccaferry.platform.standin.configurationDocument
 import yuccaferry.standin.proxy.Direction
 import yuccaferry.standin.proxy.ProxyFaults
 import yuccaferry.standin.proxy.TcpProxy
--- a/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakRun.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakRun.kt
@@ -14,11 +14,11 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.integration.Signal
-import yuccaferry.platform.Answer
-import yuccaferry.platform.CallerRequest
-import yuccaferry.platform.CallerStandIn
-import yuccaferry.platform.StandInKeys
-import yuccaferry.platform.StoreStandIn
+import yuccaferry.platform.standin.Answer
+import yuccaferry.platform.standin.CallerRequest
+import yuccaferry.platform.standin.CallerStandIn
+import yuccaferry.platform.standin.StandInKeys
+import yuccaferry.platform.standin.StoreStandIn
 import yuccaferry.standin.proxy.ProxyFaults
 import kotlin.random.Random
 
