Release reserved memory again while an unanswered order may still be executed

Cause: engines may execute an order without an answer up to 12 s late. Change: a reservation knows until when an order of its own may still be executed, and releases the memory every 1.5 s until then. Test: two of MemoryReservationTest, seen failing (10 s timeout) with the repeated release switched off. Left: a daemon that dies with an unanswered order can't release; the hold of 3.8 s is all that bounds it then.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/MemoryReservation.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/MemoryReservation.kt
@@ -1,6 +1,7 @@
 /*
  * Reserves memory of an engine for one attempt. The reservation is short and renewed while the attempt lasts, so that the memory is
- * free again soon after this daemon crashes.
+ * free again soon after this daemon crashes. An order without an answer may be executed seconds later, after the release, so the
+ * memory is released again until that can't happen anymore.
  */
 package yuccaferry.gateway.request
 
@@ -12,6 +13,24 @@
 import yuccaferry.gateway.port.ReserveResult
 import yuccaferry.gateway.view.Target
 
+/**
+ * Timing of reservations, in milliseconds.
+ *
+ * @property hold duration of a reservation: below the 4 s after which memory without a request counts as leaked.
+ * @property renewInterval time between renewals: one may fail before the reservation expires.
+ * @property retryPause pause before an unanswered release is repeated.
+ * @property lateOrder longest time after which an engine may still execute an order that it did not answer.
+ * @property lateReleaseInterval time between releases while an unanswered reservation may still be executed; well below the time after
+ * which memory counts as leaked.
+ */
+internal data class ReservationTiming(
+    val hold: Long = 3_800,
+    val renewInterval: Long = 1_700,
+    val retryPause: Long = 250,
+    val lateOrder: Long = 12_500,
+    val lateReleaseInterval: Long = 1_500,
+)
+
 /** Reservation of memory for [tokens] tokens at [target] under [id]. */
 internal class MemoryReservation(
     private val loop: EventLoop,
@@ -19,16 +38,19 @@
     val target: Target,
     val id: String,
     private val tokens: Long,
+    private val timing: ReservationTiming = ReservationTiming(),
 ) {
     private var renewal: Job? = null
 
+    /** Time until which an unanswered reservation may still be executed. */
+    private var unsettledUntil = loop.now()
+
     /** Reserves the memory; [close] is needed only if the result is [ReserveResult.HELD]. */
     suspend fun open(): ReserveResult {
         var result = ReserveResult.UNKNOWN
         try {
-            result = memory.reserve(target, id, tokens, HOLD_MILLIS)
+            result = reserve()
         } finally {
-            // Without an answer, the engine may have reserved the memory.
             if (result == ReserveResult.UNKNOWN) releaseInBackground()
         }
         if (result == ReserveResult.HELD) renewal = loop.scope.launch { renew() }
@@ -43,27 +65,39 @@
 
     private suspend fun renew() {
         while (true) {
-            delay(RENEW_INTERVAL_MILLIS)
-            memory.reserve(target, id, tokens, HOLD_MILLIS)
+            delay(timing.renewInterval)
+            reserve()
         }
     }
 
+    /** Sends the reservation, which counts as unsettled unless an answer arrives; a cancellation leaves it unsettled too. */
+    private suspend fun reserve(): ReserveResult {
+        val before = unsettledUntil
+        unsettledUntil = loop.now() + timing.lateOrder
+        val result = memory.reserve(target, id, tokens, timing.hold)
+        if (result != ReserveResult.UNKNOWN) unsettledUntil = before
+        return result
+    }
+
     private fun releaseInBackground() {
         loop.scope.launch {
-            repeat(RELEASE_ATTEMPTS) {
-                if (memory.release(target, id)) return@launch
-                delay(RELEASE_PAUSE_MILLIS)
+            repeatRelease()
+            while (unsettledUntil > loop.now()) {
+                delay(timing.lateReleaseInterval)
+                repeatRelease()
             }
         }
     }
 
-    private companion object {
-        /** Duration of a reservation in ms: below the 4 s after which memory without a request counts as leaked. */
-        const val HOLD_MILLIS = 3_800L
+    private suspend fun repeatRelease() {
+        repeat(RELEASE_ATTEMPTS) {
+            if (memory.release(target, id)) return
+            delay(timing.retryPause)
+        }
+    }
 
-        /** Milliseconds between renewals: one may fail before the reservation expires. */
-        const val RENEW_INTERVAL_MILLIS = 1_700L
+    private companion object {
+        /** Attempts to release the memory while no answer arrives; without one, the reservation expires. */
         const val RELEASE_ATTEMPTS = 3
-        const val RELEASE_PAUSE_MILLIS = 250L
     }
 }
--- a/gateway/src/test/kotlin/yuccaferry/gateway/request/MemoryReservationTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/request/MemoryReservationTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Nested
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.port.EngineMemory
 import yuccaferry.gateway.port.ReserveResult
@@ -112,10 +113,75 @@
             assertFalse(memory.released.isCompleted)
         }
 
+    @Nested
+    inner class `when an order gets no answer` {
+        /** An engine that executes the unanswered reservation late: after the first release. */
+        private inner class LateMemory(
+            private val answers: ArrayDeque<suspend () -> ReserveResult>,
+        ) : EngineMemory {
+            val lateOrderSent = CompletableDeferred<Unit>()
+            val freed = CompletableDeferred<Unit>()
+            private var releases = 0
+            private var isHeld = false
+
+            override suspend fun reserve(
+                target: Target,
+                id: String,
+                tokens: Long,
+                holdMillis: Long,
+            ): ReserveResult {
+                if (answers.size == 1) lateOrderSent.complete(Unit)
+                return answers.removeFirst()()
+            }
+
+            override suspend fun release(
+                target: Target,
+                id: String,
+            ): Boolean {
+                if (isHeld) freed.complete(Unit)
+                isHeld = ++releases == 1
+                return true
+            }
+        }
+
+        private val timing = ReservationTiming(renewInterval = 5, lateReleaseInterval = 5)
+
+        private fun reservationOf(memory: LateMemory) = MemoryReservation(loop, memory, target, "r-i-1", 1_000, timing)
+
+        @Test
+        fun `releases again the memory that a late renewal reserves`() =
+            test {
+                val memory = LateMemory(ArrayDeque(listOf({ ReserveResult.HELD }, { awaitCancellation() })))
+                val reservation = reservationOf(memory)
+                reservation.open()
+                memory.lateOrderSent.await()
+                reservation.close()
+                memory.freed.await()
+            }
+
+        @Test
+        fun `releases again the memory that a late first order reserves`() =
+            test {
+                val memory = LateMemory(ArrayDeque(listOf({ ReserveResult.UNKNOWN })))
+                reservationOf(memory).open()
+                memory.freed.await()
+            }
+
+        @Test
+        fun `releases more often than memory counts as leaked`() {
+            val timing = ReservationTiming()
+            assertTrue(timing.lateReleaseInterval < LEAK_MILLIS)
+            assertTrue(timing.lateOrder > LATE_ORDER_MILLIS)
+        }
+    }
+
     private companion object {
         const val WAIT_MILLIS = 10_000L
 
         /** Milliseconds after which the users count memory without a request as leaked (`free-ms` of the sites). */
         const val LEAK_MILLIS = 4_000L
+
+        /** Milliseconds after which engines of the sites were seen to execute an order late. */
+        const val LATE_ORDER_MILLIS = 12_000L
     }
 }
