Tell peers about work by interest, and place short prompts in a pool of the zone

Equal shares of a cold target's rate round to none at 95 daemons (26 a second), so a fleet whose engines all return cold may use none of them. Change: up to 24 peers all is as before. In a larger fleet every daemon is told about long prompts, and at most 20 daemons of the zone about short ones. Work is indexed by target. Short prompts are placed on the least loaded of three random engines of the zone's pool, long ones in the zone first; all zones are searched only if that finds nothing good. The right to start a cold target goes to a few daemons of its zone by rendezvous hash. Unchanged entries of the store no longer rebuild the lists of targets. A status line every 10 s says what a process has used.

--- /dev/null
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/ShortPool.kt
@@ -0,0 +1,42 @@
+/*
+ * Sizes the part of a zone's engines on which short prompts are placed when their exact distribution isn't known. All daemons list the
+ * engines in the same order; short prompts take random engines from its start, and long prompts take the others, so that the two
+ * seldom meet although the daemons don't tell each other about every short prompt.
+ */
+package yuccaferry.decisions.dispatch
+
+import kotlin.math.ceil
+
+/**
+ * Part of a list of engines that is meant for short prompts.
+ *
+ * @property size number of engines at the start of the list.
+ * @property assumedActive requests that an engine of the pool is assumed to process if nothing is known about it.
+ */
+data class ShortPool(
+    val size: Int,
+    val assumedActive: Int,
+) {
+    companion object {
+        /** Returns the pool for [shortRequests] concurrent short requests on [engines] engines with [slots] slots each. */
+        fun of(
+            shortRequests: Double,
+            engines: Int,
+            slots: Int,
+        ): ShortPool {
+            val packed = slots * PACKED_SHARE
+            val needed = ceil(shortRequests / packed) + ceil(engines * SPARE_SHARE)
+            val most = maxOf(1, ceil(engines * MAX_SHARE).toInt())
+            return ShortPool(needed.toInt().coerceIn(1, most), packed.toInt())
+        }
+
+        /** Share of the slots that random placement fills on average; the rest is for engines that are drawn more often than others. */
+        private const val PACKED_SHARE = 0.5
+
+        /** Share of the engines added to the pool for requests that arrive before their numbers are told. */
+        private const val SPARE_SHARE = 0.05
+
+        /** Largest share of the engines in the pool, so that short prompts never take all of them. */
+        private const val MAX_SHARE = 0.7
+    }
+}
--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -77,6 +77,16 @@
         plan: StreamPlan,
     ): Boolean = isLong(prompt.promptTokens) && long.shouldWait(prompt, plan)
 
+    /** Returns whether [plan] makes [prompt] on time without meeting a long prompt, a full engine or one that failed recently. */
+    fun isUncontended(
+        prompt: Prompt,
+        plan: StreamPlan,
+    ): Boolean {
+        val main = plan.main
+        val isOnTime = prompt.waitedMillis + plan.predictedMillis + main.penaltyMillis <= prompt.latencyTargetMillis
+        return isOnTime && main.longRequests == 0 && main.active < main.slots && !shouldWait(prompt, plan)
+    }
+
     private fun placeShort(
         prompt: Prompt,
         engines: List<TargetLoad>,
--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
@@ -91,6 +91,7 @@
             loop,
             address("store", settings.store),
             settings.name,
+            ZoneName(settings.zone),
             "${settings.host}:${peerAddress.port}",
             fleet,
             daemon.peers,
@@ -115,6 +116,7 @@
     }
     telemetry.event("started", Field("after_ms", System.currentTimeMillis() - ManagementFactory.getRuntimeMXBean().startTime))
     loop.scope.launch { file.follow(telemetry) }
+    loop.scope.launch { logStatus(telemetry) { daemon.statistics + platform.statistics } }
     Signal.handle(Signal("HUP")) { loop.scope.launch { file.reload(telemetry) } }
     Signal.handle(Signal("TERM")) {
         loop.scope.launch { platform.leave() }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -23,6 +23,7 @@
 import yuccaferry.gateway.request.TargetHealth
 import yuccaferry.gateway.request.TargetSelector
 import yuccaferry.gateway.view.FleetView
+import yuccaferry.model.DaemonName
 import yuccaferry.model.ZoneName
 import java.net.InetSocketAddress
 import kotlin.random.Random
@@ -47,10 +48,10 @@
     private val workTracker = WorkTracker()
 
     /** Exchanges messages with other daemons. */
-    val peers = PeerLink(loop, name, workTracker, telemetry)
+    val peers = PeerLink(loop, DaemonName(name), zone, workTracker, telemetry)
     private val connector = HttpClientConnector(loop)
     private val health = TargetHealth()
-    private val selector = TargetSelector(fleet, workTracker, health, zone, limits, random)
+    private val selector = TargetSelector(fleet, workTracker, health, DaemonName(name), zone, limits, random)
     private val tracker = AttemptTracker(loop, format, health, RetryPolicy(fleet, limits), AttemptLog(telemetry))
     private val calls = CallForwarder(loop, connector, format, selector, tracker, workTracker)
     private val streams = StreamForwarder(loop, connector, format, selector, tracker, workTracker, memory, random)
@@ -71,6 +72,15 @@
     /** Number of caller connections on which a request is being received or answered. */
     val busyConnections: Int get() = callerServer.busyConnections
 
+    /** Connections, and messages between daemons, since the start. */
+    val statistics: List<Field>
+        get() =
+            listOf(
+                Field("connections", callerServer.openConnections),
+                Field("peer_sent", peers.sentMessages),
+                Field("peer_received", peers.receivedMessages),
+            )
+
     private val isReady: Boolean get() = !callerServer.isDraining && fleet.isReady
 
     /**
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
@@ -12,9 +12,6 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
-import kotlinx.coroutines.Job
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
@@ -22,22 +19,34 @@
 import yuccaferry.daemon.port.Telemetry
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.awaitFailure
-import yuccaferry.model.MonotonicTime
+import yuccaferry.gateway.view.Member
+import yuccaferry.model.DaemonName
+import yuccaferry.model.ZoneName
 import java.net.InetSocketAddress
 
-/** Sends the work of the daemon [name] from [workTracker] to its peers, and records theirs there. */
-class PeerLink(
+/** Sends the work of the daemon [name] in [zone] from [workTracker] to its peers, and records theirs there. */
+class PeerLink internal constructor(
     private val loop: EventLoop,
-    private val name: String,
+    private val name: DaemonName,
+    private val zone: ZoneName,
     private val workTracker: WorkTracker,
     private val telemetry: Telemetry,
 ) {
     private val start = System.currentTimeMillis()
     private var sequence = 0L
     private var channel: Channel? = null
-    private var peers: List<InetSocketAddress> = emptyList()
-    private var sending: Job? = null
-    private var nextSend = MonotonicTime(0)
+    private var scopes = PeerScopes.NONE
+    private var timing = PeerTiming.COMPLETE
+    private val nearSends = SendSchedule(loop, ::sendNear)
+    private val farSends = SendSchedule(loop, ::sendFar)
+
+    /** Number of messages sent, one for each receiver. */
+    var sentMessages = 0L
+        private set
+
+    /** Number of messages received. */
+    var receivedMessages = 0L
+        private set
 
     /** Listens on [address]; throws `IOException` if it can't be bound. */
     suspend fun open(address: InetSocketAddress) {
@@ -49,40 +58,53 @@
                 .bind(address)
         future.awaitFailure()?.let { throw it }
         channel = future.channel()
-        workTracker.onChange = { scheduleSend(it) }
+        workTracker.onChange = ::scheduleSends
     }
 
-    /** Replaces the addresses of the peers to which the work is sent. */
-    fun setPeers(addresses: List<InetSocketAddress>) {
-        peers = addresses
+    /** Replaces the live daemons, to which the work is sent. */
+    fun setMembers(members: Collection<Member>) {
+        scopes = PeerScopes.of(name, zone, members)
+        timing = if (scopes.isComplete) PeerTiming.COMPLETE else PeerTiming.PARTIAL
+        workTracker.isComplete = scopes.isComplete
+        workTracker.knownShare = scopes.knownShare
     }
 
-    /** Schedules a send after the delay for [isUrgent], unless an earlier one is scheduled; sends repeat while there is work. */
-    private fun scheduleSend(isUrgent: Boolean) {
-        val due = loop.now() + if (isUrgent) URGENT_BATCH_DELAY_MILLIS else BATCH_DELAY_MILLIS
-        if (sending?.isActive == true && nextSend <= due) return
-        schedule(due)
-    }
+    private fun scheduleSends(change: WorkChange) {
+        when (change) {
+            WorkChange.LONG -> {
+                nearSends.within(LONG_BATCH_MILLIS)
+                farSends.within(LONG_BATCH_MILLIS)
+            }
 
-    private fun schedule(due: MonotonicTime) {
-        sending?.cancel()
-        nextSend = due
-        sending =
-            loop.scope.launch {
-                delay(due - loop.now())
-                sending = null
-                sendAll()
-                if (workTracker.ownCount > 0) schedule(loop.now() + REPEAT_INTERVAL_MILLIS)
+            WorkChange.SHORT, WorkChange.PREFILLED -> {
+                nearSends.within(timing.batchMillis)
             }
+        }
+    }
+
+    private fun sendNear() {
+        send(scopes.near, workTracker.ownWork(loop.now()), timing.nearRepeatMillis)
+        if (workTracker.ownCount > 0) nearSends.within(timing.nearRepeatMillis)
     }
 
-    private fun sendAll() {
+    private fun sendFar() {
+        val work = workTracker.ownLongWork(loop.now())
+        send(scopes.far, work, timing.farRepeatMillis)
+        if (work.isNotEmpty()) farSends.within(timing.farRepeatMillis)
+    }
+
+    private fun send(
+        receivers: List<Member>,
+        work: List<TargetWork>,
+        repeatMillis: Long,
+    ) {
         val open = channel ?: return
-        if (peers.isEmpty()) return
-        val message = WorkMessage(name, start, ++sequence, workTracker.ownWork(loop.now()))
+        if (receivers.isEmpty()) return
+        val message = WorkMessage(name.value, start, ++sequence, work, repeatMillis * MISSED_REPEATS)
         val bytes = ProtoBuf.encodeToByteArray(message)
-        peers.forEach { open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it)) }
+        receivers.forEach { open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it.peerAddress)) }
         open.flush()
+        sentMessages += receivers.size
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
@@ -90,6 +112,7 @@
             context: ChannelHandlerContext,
             packet: DatagramPacket,
         ) {
+            receivedMessages++
             try {
                 workTracker.receive(ProtoBuf.decodeFromByteArray<WorkMessage>(ByteBufUtil.getBytes(packet.content())), loop.now())
             } catch (invalid: SerializationException) {
@@ -107,13 +130,29 @@
     }
 
     private companion object {
-        /** Milliseconds for which the start and end of short prompts and the end of prefills are batched. */
-        const val BATCH_DELAY_MILLIS = 30L
-
         /** Milliseconds for which the start and end of long prompts are batched. */
-        const val URGENT_BATCH_DELAY_MILLIS = 1L
+        const val LONG_BATCH_MILLIS = 1L
 
-        /** Milliseconds between repeated sends while there is work. */
-        const val REPEAT_INTERVAL_MILLIS = 500L
+        /** Repeats after whose loss a peer's work is no longer counted. */
+        const val MISSED_REPEATS = 3
     }
 }
+
+/**
+ * Timing of the messages to peers, in milliseconds.
+ *
+ * @property batchMillis time for which changes by short prompts are batched.
+ * @property nearRepeatMillis time between repeated sends of all work.
+ * @property farRepeatMillis time between repeated sends of long work.
+ */
+private enum class PeerTiming(
+    val batchMillis: Long,
+    val nearRepeatMillis: Long,
+    val farRepeatMillis: Long,
+) {
+    /** Timing while all peers are told everything. */
+    COMPLETE(batchMillis = 30, nearRepeatMillis = 500, farRepeatMillis = 500),
+
+    /** Timing in a larger fleet, where short prompts are spread by sampling and need no fresh counts. */
+    PARTIAL(batchMillis = 250, nearRepeatMillis = 1_000, farRepeatMillis = 2_000),
+}
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
@@ -5,18 +5,20 @@
 import kotlinx.serialization.protobuf.ProtoNumber
 
 /**
- * The complete work of one daemon, so that the next message makes up for a lost one.
+ * The complete work of one daemon, as far as the receiver is told about it, so that the next message makes up for a lost one.
  *
  * @property daemon name of the sender.
  * @property start Unix time in ms at which the sender started; distinguishes its runs.
  * @property sequence number that increases with each message of a run.
+ * @property validMillis time after which the work is no longer counted unless another message arrives.
  */
 @Serializable
-class WorkMessage(
+internal class WorkMessage(
     @ProtoNumber(1) val daemon: String,
     @ProtoNumber(2) val start: Long,
     @ProtoNumber(3) val sequence: Long,
     @ProtoNumber(4) val targets: List<TargetWork>,
+    @ProtoNumber(5) val validMillis: Long,
 )
 
 /**
@@ -28,7 +30,7 @@
  * @property longRequests number of requests there with a long prompt.
  */
 @Serializable
-class TargetWork(
+internal class TargetWork(
     @ProtoNumber(1) val target: String,
     @ProtoNumber(2) val active: Int,
     @ProtoNumber(3) val readingMillis: Int,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkTracker.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkTracker.kt
@@ -4,71 +4,57 @@
 import yuccaferry.model.MonotonicTime
 import yuccaferry.model.TargetId
 
-/**
- * One request, or one part of a prompt, in progress at a target.
- *
- * @property tokens tokens of memory that it takes there.
- * @property isLong whether the prompt is long.
- * @property prefillMillis predicted duration of the prompt's prefill there.
- */
-class Work(
-    val target: TargetId,
-    val tokens: Long,
-    val isLong: Boolean,
-    val prefillMillis: Double,
-    private val start: MonotonicTime,
-) {
-    /** Whether the prefill is complete. */
-    var isPrefilled = false
-
-    /** Predicted time until the prefill is complete; above zero until then, because earlier prefills may have delayed this one. */
-    fun remainingPrefillMillis(now: MonotonicTime): Double =
-        if (isPrefilled) 0.0 else maxOf(prefillMillis * MIN_REMAINING_SHARE, prefillMillis - (now - start))
-
-    private companion object {
-        /** Smallest share of the predicted time that is assumed to remain until the prefill is complete. */
-        const val MIN_REMAINING_SHARE = 0.2
-    }
-}
-
-/** Totals of the work at one target. */
-class WorkTotals(
-    val active: Int,
-    val remainingPrefillMillis: Double,
-    val heldTokens: Long,
-    val longRequests: Int,
-)
-
 /** Tracks the work at all targets; confined to the event loop. */
-class WorkTracker {
+internal class WorkTracker {
     private val own = HashMap<TargetId, MutableList<Work>>()
     private val peers = HashMap<String, PeerWork>()
 
-    /** Called after each change of this daemon's own work; the argument is true if peers need the change soon. */
-    var onChange: (urgent: Boolean) -> Unit = {}
+    /** The peers' work by target, so that the totals at one target don't depend on the number of peers. */
+    private val peersByTarget = HashMap<TargetId, MutableList<PeerTargetWork>>()
+
+    /** Called after each change of this daemon's own work. */
+    var onChange: (WorkChange) -> Unit = {}
+
+    /** Share of the zone's daemons whose short prompts are known, including this one. */
+    var knownShare = 1.0
+
+    /** Whether the work of all daemons is known; otherwise only long prompts are known of most. */
+    var isComplete = true
 
     /** Number of this daemon's entries of work at all targets. */
-    val ownCount: Int get() = own.values.sumOf { it.size }
+    var ownCount = 0
+        private set
+
+    private var ownLongCount = 0
 
     /** Adds [work] until it is passed to [end]. */
     fun begin(work: Work) {
         own.getOrPut(work.target) { mutableListOf() } += work
-        onChange(work.isLong)
+        count(work, 1)
     }
 
     /** Records that the prefill of [work] is complete. */
     fun markPrefilled(work: Work) {
         if (work.isPrefilled) return
         work.isPrefilled = true
-        if (work.isLong) onChange(false)
+        if (work.isLong) onChange(WorkChange.PREFILLED)
     }
 
     /** Removes [work], which may have been removed before. */
     fun end(work: Work) {
         val list = own[work.target] ?: return
-        list -= work
+        if (!list.remove(work)) return
         if (list.isEmpty()) own -= work.target
-        onChange(work.isLong)
+        count(work, -1)
+    }
+
+    private fun count(
+        work: Work,
+        change: Int,
+    ) {
+        ownCount += change
+        if (work.isLong) ownLongCount += change
+        onChange(if (work.isLong) WorkChange.LONG else WorkChange.SHORT)
     }
 
     /** Replaces a peer's work by [message], received at [now]; ignores a message that is not newer than the last one. */
@@ -79,22 +65,50 @@
         val before = peers[message.daemon]
         if (before != null && message.start < before.start) return
         if (before != null && message.start == before.start && message.sequence <= before.sequence) return
-        peers[message.daemon] = PeerWork(message.start, message.sequence, now, message.targets.associateBy { TargetId(it.target) })
+        if (before == null) peers.values.filter { it.validUntil < now }.forEach { forget(it) } else forget(before)
+        val work = PeerWork(message, now)
+        peers[work.daemon] = work
+        work.targets.forEach { peersByTarget.getOrPut(it.target) { ArrayList(1) } += it }
+    }
+
+    private fun forget(work: PeerWork) {
+        peers -= work.daemon
+        for (entry in work.targets) {
+            val entries = peersByTarget[entry.target] ?: continue
+            entries.remove(entry)
+            if (entries.isEmpty()) peersByTarget -= entry.target
+        }
     }
 
     /** Returns this daemon's own work in the form sent to peers. */
-    fun ownWork(now: MonotonicTime): List<TargetWork> =
-        own.map { (id, list) ->
-            TargetWork(
-                id.value,
-                list.size,
-                list.sumOf { it.remainingPrefillMillis(now) }.toInt(),
-                list.sumOf { it.tokens },
-                list.count { it.isLong },
-            )
+    fun ownWork(now: MonotonicTime): List<TargetWork> = own.map { (id, list) -> summarize(id, list, now) }
+
+    /** Returns this daemon's long work in the form sent to peers. */
+    fun ownLongWork(now: MonotonicTime): List<TargetWork> =
+        if (ownLongCount == 0) {
+            emptyList()
+        } else {
+            own.mapNotNull { (id, list) ->
+                list
+                    .filter { it.isLong }
+                    .ifEmpty { null }
+                    ?.let { summarize(id, it, now) }
+            }
         }
 
-    /** Returns the totals of all daemons' work at [target]. */
+    private fun summarize(
+        target: TargetId,
+        work: List<Work>,
+        now: MonotonicTime,
+    ) = TargetWork(
+        target.value,
+        work.size,
+        work.sumOf { it.remainingPrefillMillis(now) }.toInt(),
+        work.sumOf { it.tokens },
+        work.count { it.isLong },
+    )
+
+    /** Returns the totals of all daemons' known work at [target]. */
     fun totalsAt(
         target: TargetId,
         now: MonotonicTime,
@@ -104,27 +118,42 @@
         var prefill = mine.sumOf { it.remainingPrefillMillis(now) }
         var held = mine.sumOf { it.tokens }
         var long = mine.count { it.isLong }
-        for (peer in peers.values) {
-            val age = now - peer.receivedAt
-            if (age > PEER_EXPIRY_MILLIS) continue
-            val work = peer.targets[target] ?: continue
-            active += work.active
-            prefill += maxOf(0.0, work.readingMillis - age.toDouble())
-            held += work.heldTokens
-            long += work.longRequests
+        for (entry in peersByTarget[target].orEmpty()) {
+            if (entry.peer.validUntil < now) continue
+            active += entry.work.active
+            prefill += maxOf(0.0, entry.work.readingMillis - (now - entry.peer.receivedAt).toDouble())
+            held += entry.work.heldTokens
+            long += entry.work.longRequests
         }
         return WorkTotals(active, prefill, held, long)
     }
 
+    /** Returns the estimated number of short requests of the zone's daemons: those that are known, scaled by [knownShare]. */
+    fun shortRequests(now: MonotonicTime): Double {
+        val known = ownCount - ownLongCount + peers.values.sumOf { if (it.validUntil < now) 0 else it.shortRequests }
+        return known / knownShare
+    }
+
     private class PeerWork(
-        val start: Long,
-        val sequence: Long,
+        message: WorkMessage,
         val receivedAt: MonotonicTime,
-        val targets: Map<TargetId, TargetWork>,
+    ) {
+        val daemon = message.daemon
+        val start = message.start
+        val sequence = message.sequence
+        val validUntil = receivedAt + message.validMillis.coerceIn(0, MAX_VALID_MILLIS)
+        val targets = message.targets.map { PeerTargetWork(this, TargetId(it.target), it) }
+        val shortRequests = message.targets.sumOf { it.active - it.longRequests }
+    }
+
+    private class PeerTargetWork(
+        val peer: PeerWork,
+        val target: TargetId,
+        val work: TargetWork,
     )
 
     private companion object {
-        /** Milliseconds after a peer's last message at which its work is no longer counted: three of its send intervals. */
-        const val PEER_EXPIRY_MILLIS = 1_500L
+        /** Longest time in milliseconds for which a message counts, whatever it states. */
+        const val MAX_VALID_MILLIS = 10_000L
     }
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -1,34 +1,37 @@
-// Selects targets: derives the placement's inputs from the view of the fleet, and enforces the rate limit of cold targets.
+// Selects targets: derives the placement's inputs from the view of the fleet and from what is known of the work at each target.
 package yuccaferry.gateway.request
 
 import yuccaferry.decisions.dispatch.EngineModel
 import yuccaferry.decisions.dispatch.Prompt
+import yuccaferry.decisions.dispatch.ShortPool
 import yuccaferry.decisions.dispatch.StreamPlacement
 import yuccaferry.decisions.dispatch.StreamPlan
 import yuccaferry.decisions.dispatch.TargetLoad
 import yuccaferry.decisions.dispatch.placeCall
-import yuccaferry.decisions.limits.ColdLimit
 import yuccaferry.decisions.routing.EngineFigures
 import yuccaferry.decisions.routing.ServiceDefinition
 import yuccaferry.gateway.GatewayLimits
 import yuccaferry.gateway.peers.WorkTracker
 import yuccaferry.gateway.view.FleetView
 import yuccaferry.gateway.view.Target
+import yuccaferry.gateway.view.UsableTargets
+import yuccaferry.model.DaemonName
 import yuccaferry.model.MonotonicTime
 import yuccaferry.model.TargetId
 import yuccaferry.model.ZoneName
 import kotlin.random.Random
 
-/** Selects targets for requests that arrive in [zone]. */
+/** Selects targets for requests that arrive at the daemon [own] in [zone]. */
 internal class TargetSelector(
     private val fleet: FleetView,
     private val workTracker: WorkTracker,
     private val health: TargetHealth,
+    own: DaemonName,
     private val zone: ZoneName,
     private val limits: () -> GatewayLimits,
     private val random: Random,
 ) {
-    private val coldLimits = HashMap<TargetId, ColdLimit>()
+    private val coldSends = ColdSends(fleet, own, limits)
     private val placements = HashMap<EngineFigures, StreamPlacement>()
 
     /** Selects the engines that prefill the prompt of [request]; returns null if no engine may receive it. */
@@ -38,7 +41,8 @@
         tried: Set<TargetId>,
         now: MonotonicTime,
     ): Placement? {
-        val targets = candidates(request.service, tried, now)
+        val usable = fleet.usable(request.service.name)
+        val streamPlacement = streamPlacementFor(figures)
         val prompt =
             Prompt(
                 promptTokens = request.head.promptTokens,
@@ -47,16 +51,9 @@
                 waitedMillis = now - request.arrival,
                 remainingMillis = request.deadline - now,
             )
-        val streamPlacement = streamPlacementFor(figures)
-        val plan = streamPlacement.place(prompt, targets.map { loadOf(it, now) }, random.nextDouble()) ?: return null
-        val shouldWait = tried.isEmpty() && streamPlacement.shouldWait(prompt, plan)
-        val byId = targets.associateBy { it.id }
-        return Placement(
-            plan,
-            shouldWait,
-            byId.getValue(plan.main.id),
-            plan.helpers.map { HelperTarget(byId.getValue(it.engine.id), it.reservedTokens) },
-        )
+        val search = PlacementSearch(streamPlacement, prompt, request.service, tried, now)
+        if (workTracker.isComplete) return search.among(usable.all) { loadOf(it, now) }
+        return placeWithPartialKnowledge(search, usable)
     }
 
     /** Returns the placement of prompts on engines with [figures]. */
@@ -68,37 +65,55 @@
         tried: Set<TargetId>,
         now: MonotonicTime,
     ): Target? {
-        val targets = candidates(service, tried, now)
+        val targets = candidates(fleet.usable(service.name).all, service, tried, now)
         val chosen = placeCall(targets.map { loadOf(it, now) }, zone, random.nextDouble()) ?: return null
         return targets.first { it.id == chosen.id }
     }
 
-    /** Counts a request sent to [target] at [now] against the rate limit of cold targets; drops the limit once the target is warm. */
+    /** Counts a request sent to [target] at [now] against the rate limit of cold targets. */
     fun recordSend(
         target: Target,
         now: MonotonicTime,
-    ) {
-        if (target.coldUntil > now) coldLimits.getOrPut(target.id) { ColdLimit() }.record(now) else coldLimits -= target.id
+    ) = coldSends.record(target, now)
+
+    /**
+     * Searches one zone, whose short prompts are known best, and all zones only if that finds no good placement. Engines of other zones
+     * are assumed to have as many short prompts as those of this one.
+     */
+    private fun placeWithPartialKnowledge(
+        search: PlacementSearch,
+        usable: UsableTargets,
+    ): Placement? {
+        val home = if (zone in usable.zones) zone else usable.zones.randomOrNull(random) ?: return null
+        val inHome = usable.inZone(home)
+        val slots = maxOf(1, inHome.first().slots)
+        val zones = maxOf(1, fleet.members.mapNotNullTo(HashSet()) { it.zone }.size)
+        val shortRequests = workTracker.shortRequests(search.now) * zones / usable.zones.size
+        val pool = ShortPool.of(shortRequests, inHome.size, slots)
+        val first =
+            if (search.isLong) {
+                search.among(inHome) { loadOf(it, search.now) }
+            } else {
+                search.among(inHome.take(pool.size).shuffled(random).take(SAMPLED_ENGINES)) { loadOf(it, search.now) }
+            }
+        if (first != null && search.isGood(first.plan)) return first
+        val assumed = HashMap<TargetId, Int>()
+        (usable.zones - home).forEach { other -> usable.inZone(other).take(pool.size).forEach { assumed[it.id] = pool.assumedActive } }
+        val others = (usable.zones - home).flatMap { usable.inZone(it) }
+        return search.among(inHome + others) { target ->
+            val load = loadOf(target, search.now)
+            load.copy(active = maxOf(load.active, assumed[target.id] ?: 0))
+        }
     }
 
     private fun candidates(
+        targets: List<Target>,
         service: ServiceDefinition,
         tried: Set<TargetId>,
         now: MonotonicTime,
     ): List<Target> {
-        val usable = fleet.usable(service.name).filter { maySend(it, service, now) }
-        return usable.filter { it.id !in tried }.ifEmpty { usable }
-    }
-
-    private fun maySend(
-        target: Target,
-        service: ServiceDefinition,
-        now: MonotonicTime,
-    ): Boolean {
-        if (service.coldRequestsPerSecond <= 0 || target.coldUntil <= now) return true
-        val current = limits()
-        val fleetPerSecond = service.coldRequestsPerSecond * current.coldBurstFactor + current.coldTolerance
-        return coldLimits[target.id]?.allows(now, fleetPerSecond / fleet.daemons) ?: (fleetPerSecond >= fleet.daemons)
+        val allowed = targets.filter { coldSends.isAllowed(it, service, now) }
+        return allowed.filter { it.id !in tried }.ifEmpty { allowed }
     }
 
     private fun loadOf(
@@ -117,6 +132,41 @@
             slots = maxOf(1, target.slots),
         )
     }
+
+    /** The search for a placement of one [prompt]. */
+    private inner class PlacementSearch(
+        private val streamPlacement: StreamPlacement,
+        private val prompt: Prompt,
+        private val service: ServiceDefinition,
+        private val tried: Set<TargetId>,
+        val now: MonotonicTime,
+    ) {
+        val isLong = streamPlacement.isLong(prompt.promptTokens)
+
+        /** Returns the best placement on [targets], whose load is [load]; null if there is none. */
+        fun among(
+            targets: List<Target>,
+            load: (Target) -> TargetLoad,
+        ): Placement? {
+            val allowed = candidates(targets, service, tried, now)
+            val plan = streamPlacement.place(prompt, allowed.map(load), random.nextDouble()) ?: return null
+            val byId = allowed.associateBy { it.id }
+            return Placement(
+                plan,
+                shouldWait = tried.isEmpty() && streamPlacement.shouldWait(prompt, plan),
+                main = byId.getValue(plan.main.id),
+                helpers = plan.helpers.map { HelperTarget(byId.getValue(it.engine.id), it.reservedTokens) },
+            )
+        }
+
+        /** Returns whether [plan] is as good as one on any other engine would be likely to be. */
+        fun isGood(plan: StreamPlan): Boolean = streamPlacement.isUncontended(prompt, plan)
+    }
+
+    private companion object {
+        /** Engines of the pool among which a short prompt takes the least loaded one. */
+        const val SAMPLED_ENGINES = 3
+    }
 }
 
 /**
--- a/gateway/src/main/kotlin/yuccaferry/gateway/view/FleetView.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/view/FleetView.kt
@@ -1,4 +1,4 @@
-// This daemon's view of the fleet: the configuration, the targets, the zones out of service, and the number of daemons.
+// This daemon's view of the fleet: the configuration, the targets, the zones out of service, and the live daemons.
 package yuccaferry.gateway.view
 
 import kotlinx.coroutines.CompletableDeferred
@@ -15,7 +15,7 @@
 ) {
     private val targets = HashMap<TargetId, Target>()
     private val unlisted = HashSet<TargetId>()
-    private var byService: Map<ServiceName, List<Target>> = emptyMap()
+    private val usableTargets = HashMap<ServiceName, UsableTargets>()
 
     /** The newest configuration, or null before the first; never replaced by an older version. */
     var configuration: RoutingConfiguration? = null
@@ -25,10 +25,14 @@
     var zonesOut: Set<ZoneName> = emptySet()
         private set
 
-    /** Number of live daemons, including this one. */
+    /** Highest number of live daemons in the last seconds, including this one; shares of common limits are based on it. */
     var daemons: Int = ASSUMED_DAEMONS
         private set
 
+    /** The live daemons, ordered by name; empty before the first listing. */
+    var members: List<Member> = emptyList()
+        private set
+
     private val firstView = CompletableDeferred<Unit>()
 
     /** Whether a configuration and the platform's list of targets have been read. */
@@ -51,11 +55,17 @@
     fun setZonesOut(zones: Set<ZoneName>) {
         if (zones == zonesOut) return
         zonesOut = zones
+        usableTargets.clear()
         telemetry.event("zones_out", Field("zones", zones.joinToString(",")))
     }
 
-    /** Replaces the number of live daemons. */
-    fun setDaemons(count: Int) {
+    /** Replaces the live daemons; [count] is the highest number of them in the last seconds. */
+    fun setMembers(
+        live: Collection<Member>,
+        count: Int,
+    ) {
+        val sorted = live.sortedBy { it.name.value }
+        if (sorted != members) members = sorted
         if (count == daemons) return
         telemetry.event("daemons_counted", Field("count", count), Field("previous", daemons))
         daemons = count
@@ -71,8 +81,11 @@
 
     /** Adds or replaces a target, which then counts as listed. */
     fun putTarget(target: Target) {
-        val before = targets.put(target.id, target)
+        val before = targets[target.id]
+        if (before != null && before.isSameAs(target) && target.id !in unlisted) return
+        targets[target.id] = target
         unlisted -= target.id
+        usableTargets.clear()
         if (before == null || before.isLeaving != target.isLeaving || before.incarnation != target.incarnation) {
             telemetry.event(
                 "target_changed",
@@ -83,14 +96,13 @@
                 Field("run", target.incarnation),
             )
         }
-        byService = emptyMap()
     }
 
     /** Removes a target; does nothing if it is unknown. */
     fun removeTarget(id: TargetId) {
         val target = targets.remove(id) ?: return
         unlisted -= id
-        byService = emptyMap()
+        usableTargets.clear()
         telemetry.event("target_gone", Field("target", id), Field("address", target.hostPort))
     }
 
@@ -100,19 +112,20 @@
      */
     fun markUnlisted(id: TargetId) {
         if (id !in targets || !unlisted.add(id)) return
+        usableTargets.clear()
         telemetry.event("target_doubted", Field("target", id))
     }
 
     /**
-     * Returns the targets of [service] that may receive new work, ordered by id. Includes unlisted targets only while they outnumber the
-     * listed ones, because an outage is then the likely cause.
+     * Returns the targets of [service] that may receive new work. Includes unlisted targets only while they outnumber the listed ones,
+     * because an outage is then the likely cause.
      */
-    fun usable(service: ServiceName): List<Target> {
-        if (byService.isEmpty()) byService = targets.values.sortedBy { it.id.value }.groupBy { it.service }
-        val working = byService[service].orEmpty().filter { !it.isLeaving }
-        val listed = working.filter { it.id !in unlisted }
-        return (if (listed.size * 2 >= working.size) listed else working).filter { it.zone !in zonesOut }
-    }
+    fun usable(service: ServiceName): UsableTargets =
+        usableTargets.getOrPut(service) {
+            val working = targets.values.filter { it.service == service && !it.isLeaving }.sortedBy { it.id.value }
+            val listed = working.filter { it.id !in unlisted }
+            UsableTargets((if (listed.size * 2 >= working.size) listed else working).filter { it.zone !in zonesOut })
+        }
 
     private companion object {
         /** Number of daemons assumed before the first count: more than a site has, so that shares of common limits are not too large. */
--- a/gateway/src/main/kotlin/yuccaferry/gateway/view/Target.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/view/Target.kt
@@ -25,6 +25,21 @@
     val isLeaving: Boolean,
     val coldUntil: MonotonicTime,
 ) {
+    /** Whether requests may be sent to [other] instead of this target without any difference. */
+    internal fun isSameAs(other: Target) =
+        incarnation == other.incarnation &&
+            service == other.service &&
+            address == other.address &&
+            zone == other.zone &&
+            slots == other.slots &&
+            isLeaving == other.isLeaving &&
+            coldUntil == other.coldUntil
+
     /** `host:port` of [address]. */
     val hostPort: String get() = "${address.address.hostAddress}:${address.port}"
+
+    companion object {
+        /** [coldUntil] of a target that is not cold. */
+        val NOT_COLD = MonotonicTime(Long.MIN_VALUE)
+    }
 }
--- a/gateway/src/test/kotlin/yuccaferry/gateway/peers/WorkTrackerTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/peers/WorkTrackerTest.kt
@@ -15,7 +15,9 @@
         sequence: Long,
         active: Int,
         start: Long = 1,
-    ) = WorkMessage("peer", start, sequence, listOf(TargetWork("t", active, 500, 1_000, 1)))
+        daemon: String = "peer",
+        target: String = "t",
+    ) = WorkMessage(daemon, start, sequence, listOf(TargetWork(target, active, 500, 1_000, 1)), validMillis = 1_500)
 
     @Test
     fun `adds up own and peers' work`() {
@@ -43,11 +45,47 @@
     }
 
     @Test
-    fun `reports changes of long work as urgent, of short work as not urgent`() {
-        val urgency = mutableListOf<Boolean>()
-        workTracker.onChange = { urgency += it }
+    fun `tells changes of long work from those of short work`() {
+        val changes = mutableListOf<WorkChange>()
+        workTracker.onChange = { changes += it }
         workTracker.begin(Work(target, 1, isLong = true, prefillMillis = 1.0, start = at(0)))
         workTracker.begin(Work(target, 1, isLong = false, prefillMillis = 1.0, start = at(0)))
-        assertEquals(listOf(true, false), urgency)
+        assertEquals(listOf(WorkChange.LONG, WorkChange.SHORT), changes)
+    }
+
+    @Test
+    fun `replaces all of a peer's work by its next message`() {
+        workTracker.receive(message(sequence = 1, active = 3), at(0))
+        workTracker.receive(message(sequence = 2, active = 2, target = "u"), at(1))
+        assertEquals(0, workTracker.totalsAt(target, at(2)).active)
+        assertEquals(2, workTracker.totalsAt(TargetId("u"), at(2)).active)
+    }
+
+    @Test
+    fun `reports a change once for work that is ended twice`() {
+        val work = Work(target, 1, isLong = true, prefillMillis = 1.0, start = at(0))
+        workTracker.begin(work)
+        val changes = mutableListOf<WorkChange>()
+        workTracker.onChange = { changes += it }
+        repeat(2) { workTracker.end(work) }
+        assertEquals(listOf(WorkChange.LONG), changes)
+        assertEquals(0, workTracker.ownCount)
+    }
+
+    @Test
+    fun `sends far peers only long work`() {
+        workTracker.begin(Work(target, 1, isLong = true, prefillMillis = 1.0, start = at(0)))
+        workTracker.begin(Work(target, 1, isLong = false, prefillMillis = 1.0, start = at(0)))
+        assertEquals(listOf(2), workTracker.ownWork(at(0)).map { it.active })
+        assertEquals(listOf(1), workTracker.ownLongWork(at(0)).map { it.active })
+    }
+
+    @Test
+    fun `scales the short requests of the daemons that are known to the whole zone`() {
+        workTracker.knownShare = 0.5
+        workTracker.begin(Work(target, 1, isLong = false, prefillMillis = 1.0, start = at(0)))
+        workTracker.receive(message(sequence = 1, active = 4), at(0))
+        assertEquals(8.0, workTracker.shortRequests(at(1)))
+        assertEquals(2.0, workTracker.shortRequests(at(2_000)))
     }
 }
--- a/gateway/src/test/kotlin/yuccaferry/gateway/view/FleetViewTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/view/FleetViewTest.kt
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertSame
 
 class FleetViewTest {
     private val service = ServiceName("s")
@@ -23,7 +24,7 @@
         Target(TargetId(id), Incarnation("1"), of, InetSocketAddress("127.0.0.1", 1), ZoneName(zone), 4, isLeaving, MonotonicTime(0)),
     )
 
-    private fun usable() = fleet.usable(service).map { it.id.value }
+    private fun usable() = fleet.usable(service).all.map { it.id.value }
 
     @Test
     fun `lists a service's targets ordered by id`() {
@@ -75,4 +76,21 @@
         put("a", of = ServiceName("t"))
         assertEquals(emptyList(), usable())
     }
+
+    @Test
+    fun `groups usable targets by zone`() {
+        put("a", zone = "x")
+        put("b", zone = "y")
+        put("c", zone = "x")
+        assertEquals(listOf("a", "c"), fleet.usable(service).inZone(ZoneName("x")).map { it.id.value })
+        assertEquals(emptyList(), fleet.usable(service).inZone(ZoneName("z")))
+    }
+
+    @Test
+    fun `keeps its lists while entries are written again without a change`() {
+        put("a")
+        val before = fleet.usable(service)
+        put("a")
+        assertSame(before, fleet.usable(service))
+    }
 }
--- a/model/src/main/kotlin/yuccaferry/model/Ids.kt
+++ b/model/src/main/kotlin/yuccaferry/model/Ids.kt
@@ -78,6 +78,15 @@
     override fun toString() = value
 }
 
+/** Name of one daemon, which it keeps when it restarts. */
+@Serializable
+@JvmInline
+value class DaemonName(
+    val value: String,
+) {
+    override fun toString() = value
+}
+
 /** Identifies one caller's request on every hop. */
 @Serializable
 @JvmInline
