Limit what a target in trouble may send, and hold targets back while their callers don't read

Cause: a target's bytes were queued without a limit (a stream whose caller did not read let its target write 483 MB into this daemon); informational heads, answers to other requests and events without an end were read until the deadline; single bytes extended the time between events; the splitter copied its whole buffer for each piece. Change: reads pause above 64 KB queued for one connection; a head and what precedes it end at 64 KB, an event or events without a number at 256 KB, skipped answers at 256 KB, all buffered answers together at 32 MB. The time between events counts from the last whole event. What passes a limit ends the attempt as broken, with the limit in its log line, and the request is repeated where it may be. Status lines, headers and empty lines without end held before.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -16,6 +16,7 @@
 import yuccaferry.gateway.port.RequestFormat
 import yuccaferry.gateway.request.AttemptLog
 import yuccaferry.gateway.request.AttemptTracker
+import yuccaferry.gateway.request.BufferBudget
 import yuccaferry.gateway.request.CallForwarder
 import yuccaferry.gateway.request.Gateway
 import yuccaferry.gateway.request.RetryPolicy
@@ -53,8 +54,9 @@
     private val health = TargetHealth()
     private val selector = TargetSelector(fleet, workTracker, health, DaemonName(name), zone, limits, random)
     private val tracker = AttemptTracker(loop, format, health, RetryPolicy(fleet, limits), AttemptLog(telemetry))
-    private val calls = CallForwarder(loop, connector, format, selector, tracker, workTracker)
-    private val streams = StreamForwarder(loop, connector, format, selector, tracker, workTracker, memory, random)
+    private val buffers = BufferBudget()
+    private val calls = CallForwarder(loop, connector, format, selector, tracker, workTracker, buffers)
+    private val streams = StreamForwarder(loop, connector, format, selector, tracker, workTracker, memory, random, buffers)
     private val gateway = Gateway(loop, fleet, format, calls, streams, telemetry, random)
     private val callerServer = HttpServer(loop, ::callerLimits, gateway)
     private val readinessServer =
--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpClientConnection.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpClientConnection.kt
@@ -2,34 +2,19 @@
 package yuccaferry.gateway.net
 
 import io.netty.bootstrap.Bootstrap
-import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
-import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpClientCodec
-import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpObject
-import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpVersion
-import io.netty.handler.codec.http.LastHttpContent
-import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.ExperimentalCoroutinesApi
-import kotlinx.coroutines.channels.ClosedReceiveChannelException
-import kotlinx.coroutines.selects.onTimeout
-import kotlinx.coroutines.selects.select
 import java.net.InetSocketAddress
-import kotlinx.coroutines.channels.Channel as Mailbox
 
 /** A request to send. The sender sets the `Host` header in [headers]. */
 class OutgoingRequest(
@@ -42,7 +27,7 @@
 /** An open client connection, which carries one request at a time. */
 class HttpClientConnection internal constructor(
     private val channel: Channel,
-    private val inbox: Mailbox<HttpResponsePart>,
+    private val inbox: ResponseInbox,
 ) {
     /** Whether the connection is open as far as this side has detected. */
     val isOpen: Boolean get() = channel.isActive
@@ -65,21 +50,10 @@
      * Returns the next part that the server sent, or [HttpResponsePart.Broken] if the connection has ended or the bytes are not a valid
      * response. A response that belongs to no request is returned like any other.
      */
-    suspend fun receive(): HttpResponsePart {
-        try {
-            return inbox.receive()
-        } catch (closed: ClosedReceiveChannelException) {
-            return HttpResponsePart.Broken("closed")
-        }
-    }
+    suspend fun receive(): HttpResponsePart = inbox.receive()
 
     /** Like [receive] without a limit, but returns null if no part arrives within [withinMillis]; the next call returns a later part. */
-    @OptIn(ExperimentalCoroutinesApi::class)
-    suspend fun receive(withinMillis: Long): HttpResponsePart? =
-        select {
-            inbox.onReceiveCatching { it.getOrNull() ?: HttpResponsePart.Broken("closed") }
-            onTimeout(withinMillis) { null }
-        }
+    suspend fun receive(withinMillis: Long): HttpResponsePart? = inbox.receive(withinMillis)
 
     /** Closes the connection, which also tells the server to abandon a request in progress. */
     fun close() {
@@ -96,7 +70,7 @@
         address: InetSocketAddress,
         timeoutMillis: Long,
     ): HttpClientConnection? {
-        val inbox = Mailbox<HttpResponsePart>(Mailbox.UNLIMITED)
+        val inbox = ResponseInbox()
         val future =
             Bootstrap()
                 .group(loop.group)
@@ -116,11 +90,14 @@
     }
 
     private class Pipeline(
-        private val inbox: Mailbox<HttpResponsePart>,
+        private val inbox: ResponseInbox,
     ) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
+            inbox.attach(channel)
+            val reader = ResponseReader(inbox)
+            channel.pipeline().addLast(ResponseHeadLimit(reader))
             channel.pipeline().addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-            channel.pipeline().addLast(ResponseReader(inbox))
+            channel.pipeline().addLast(reader)
         }
     }
 
@@ -135,54 +112,3 @@
         const val MAX_CHUNK_BYTES = 65_536
     }
 }
-
-private class ResponseReader(
-    private val inbox: Mailbox<HttpResponsePart>,
-) : ChannelInboundHandlerAdapter() {
-    private var informational = false
-
-    override fun channelRead(
-        context: ChannelHandlerContext,
-        message: Any,
-    ) {
-        try {
-            val part = message as HttpObject
-            if (part.decoderResult().isFailure) {
-                end(context, "invalid response: ${part.decoderResult().cause()?.javaClass?.simpleName}")
-                return
-            }
-            if (part is HttpResponse) readHead(part)
-            if (part is HttpContent && !informational) readContent(part)
-            if (part is LastHttpContent) informational = false
-        } finally {
-            ReferenceCountUtil.release(message)
-        }
-    }
-
-    private fun readHead(head: HttpResponse) {
-        val status: HttpResponseStatus = head.status()
-        informational = status.codeClass() == HttpStatusClass.INFORMATIONAL
-        if (!informational) inbox.trySend(HttpResponsePart.Head(status.code(), status.reasonPhrase(), head.headers()))
-    }
-
-    private fun readContent(part: HttpContent) {
-        if (part.content().isReadable) inbox.trySend(HttpResponsePart.Piece(ByteBufUtil.getBytes(part.content())))
-        if (part is LastHttpContent) inbox.trySend(HttpResponsePart.End)
-    }
-
-    override fun channelInactive(context: ChannelHandlerContext) = end(context, "closed")
-
-    @Deprecated("Netty's own signature")
-    override fun exceptionCaught(
-        context: ChannelHandlerContext,
-        cause: Throwable,
-    ) = end(context, cause.message ?: cause.javaClass.simpleName)
-
-    private fun end(
-        context: ChannelHandlerContext,
-        reason: String,
-    ) {
-        if (inbox.trySend(HttpResponsePart.Broken(reason)).isSuccess) inbox.close()
-        context.close()
-    }
-}
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/BufferedResponse.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/BufferedResponse.kt
@@ -24,12 +24,15 @@
     }
 }
 
-/** Returns the rest of a response's body; null if it is truncated or larger than [MAX_BODY_BYTES]. */
-internal suspend fun collectBody(connection: HttpClientConnection): ByteArray? {
+/** Returns the rest of a response's body; null if it is truncated, larger than [MAX_BODY_BYTES] or [share] has no room for it. */
+internal suspend fun collectBody(
+    connection: HttpClientConnection,
+    share: BufferBudget.Share,
+): ByteArray? {
     val body = ByteArrayOutputStream()
     while (body.size() <= MAX_BODY_BYTES) {
         when (val part = connection.receive()) {
-            is HttpResponsePart.Piece -> body.writeBytes(part.bytes)
+            is HttpResponsePart.Piece -> if (share.take(part.bytes.size)) body.writeBytes(part.bytes) else return null
             HttpResponsePart.End -> return body.toByteArray()
             is HttpResponsePart.Head, is HttpResponsePart.Broken -> return null
         }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
@@ -23,18 +23,25 @@
     private val selector: TargetSelector,
     private val tracker: AttemptTracker,
     private val workTracker: WorkTracker,
+    private val buffers: BufferBudget,
 ) {
     /** Answers [request] through [reply]; returns the outcome for the log. */
     suspend fun forward(
         request: AdmittedRequest,
         reply: HttpResponseWriter,
+    ): String = buffers.share().use { forward(request, reply, it) }
+
+    private suspend fun forward(
+        request: AdmittedRequest,
+        reply: HttpResponseWriter,
+        share: BufferBudget.Share,
     ): String {
         val attempts = tracker.begin(request)
         var failure: BufferedResponse? = null
         while (attempts.hasTime) {
             val target = selector.selectForCall(request.service, attempts.tried, loop.now()) ?: break
             attempts.recordStart(target)
-            val result = attempt(request, target)
+            val result = attempt(request, target, share)
             attempts.recordEnd(target, result.end)
             val answer = result.answer
             if (answer != null && (answer.status < SERVER_ERROR || !request.route.kind.isIdempotent)) return answer.respond(format, reply)
@@ -47,6 +54,7 @@
     private suspend fun attempt(
         request: AdmittedRequest,
         target: Target,
+        share: BufferBudget.Share,
     ): CallResult {
         val work = Work(target.id, tokens = 0, isLong = false, prefillMillis = 0.0, start = loop.now())
         workTracker.begin(work)
@@ -58,7 +66,7 @@
             val details = SendDetails(target, remaining, request.account?.name, null, null, emptyList())
             selector.recordSend(target, loop.now())
             connection.send(request.incoming.toTarget(format, details))
-            return withTimeoutOrNull(remaining) { collect(connection, request) } ?: CallResult(AttemptEnd.TimedOut)
+            return withTimeoutOrNull(remaining) { collect(connection, request, share) } ?: CallResult(AttemptEnd.TimedOut)
         } finally {
             connection?.close()
             workTracker.end(work)
@@ -68,22 +76,23 @@
     private suspend fun collect(
         connection: HttpClientConnection,
         request: AdmittedRequest,
+        share: BufferBudget.Share,
     ): CallResult {
-        while (true) {
-            val head =
-                when (val part = connection.receive()) {
-                    is HttpResponsePart.Head -> part
-                    is HttpResponsePart.Broken -> return CallResult(AttemptEnd.Broken(part.reason))
-                    is HttpResponsePart.Piece, HttpResponsePart.End -> continue
-                }
-            val stated = format.readAnswer(head.status, head.headers)
+        var skippedBytes = 0L
+        while (skippedBytes <= MAX_SKIPPED_BYTES) {
+            val part = connection.receive()
+            skippedBytes += if (part is HttpResponsePart.Piece) part.bytes.size else SKIPPED_PART_BYTES
+            if (part is HttpResponsePart.Broken) return CallResult(AttemptEnd.Broken(part.reason))
+            if (part !is HttpResponsePart.Head) continue
+            val stated = format.readAnswer(part.status, part.headers)
             // An answer to another request may precede the expected one; the loop skips its body.
             if (stated.id != null && stated.id != request.head.id) continue
-            if (stated.hasNotRun) return CallResult(AttemptEnd.Rejected(head.status))
-            val body = collectBody(connection) ?: return CallResult(AttemptEnd.Broken("answer incomplete or too large"))
+            if (stated.hasNotRun) return CallResult(AttemptEnd.Rejected(part.status))
+            val body = collectBody(connection, share) ?: return CallResult(AttemptEnd.Broken("answer incomplete or too large"))
             if (!stated.isSigned || stated.isEncoded) return CallResult(AttemptEnd.Broken("answer unsigned or encoded"))
-            return CallResult(AttemptEnd.Answered(head.status), BufferedResponse(head, body))
+            return CallResult(AttemptEnd.Answered(part.status), BufferedResponse(part, body))
         }
+        return CallResult(AttemptEnd.Broken("foreign answers exceed $MAX_SKIPPED_BYTES bytes"))
     }
 
     private class CallResult(
@@ -94,6 +103,12 @@
     private companion object {
         const val SERVER_ERROR = 500
 
+        /** Maximum bytes of answers to other requests that are skipped: a few of the usual size. */
+        const val MAX_SKIPPED_BYTES = 262_144L
+
+        /** Bytes that a skipped head counts as. */
+        const val SKIPPED_PART_BYTES = 256
+
         /** Milliseconds to establish a connection: many round trips between zones, a fraction of a call's timeout. */
         const val CONNECT_MILLIS = 150L
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -31,9 +31,16 @@
     figures: EngineFigures,
     private val progress: StreamProgress,
     private val reply: HttpResponseWriter,
+    private val share: BufferBudget.Share,
 ) {
     private val splitter = EventSplitter()
 
+    /** Time of the last event, or of the request before the first. */
+    private var lastProgress = loop.now()
+
+    /** Bytes since the last event with a number. */
+    private var unnumberedBytes = 0L
+
     /** Whether no event of this attempt has been forwarded yet. */
     private var isFirst = true
     private val mainWork: Work
@@ -103,6 +110,7 @@
                 helpers = placement.helpers.map { helper -> Helper(helper.target, opened.find { it.target === helper.target }?.id) },
             )
         selector.recordSend(placement.main, now)
+        lastProgress = now
         connection.send(request.incoming.toTarget(format, details))
     }
 
@@ -140,7 +148,7 @@
         head: HttpResponsePart.Head,
     ): AttemptEnd {
         val body =
-            withTimeoutOrNull(request.deadline - loop.now()) { collectBody(connection) }
+            withTimeoutOrNull(request.deadline - loop.now()) { collectBody(connection, share) }
                 ?: return AttemptEnd.Broken("answer incomplete or too large")
         progress.failure = BufferedResponse(head, body)
         return AttemptEnd.Answered(head.status)
@@ -153,7 +161,7 @@
     ): AttemptEnd {
         while (true) {
             when (val part = receive(connection, waitUntilDeadline)) {
-                is HttpResponsePart.Piece -> splitter.add(part.bytes)?.let { forwardEvents(it, head) }?.let { return it }
+                is HttpResponsePart.Piece -> forwardPiece(part, head)?.let { return it }
                 HttpResponsePart.End -> return finish(head)
                 is HttpResponsePart.Head -> return AttemptEnd.Broken("expected body, found a second response")
                 is HttpResponsePart.Broken -> return AttemptEnd.Broken(part.reason)
@@ -162,13 +170,27 @@
         }
     }
 
+    /** Forwards the events that [piece] completes; returns the attempt's end if it must end. */
+    private suspend fun forwardPiece(
+        piece: HttpResponsePart.Piece,
+        head: HttpResponsePart.Head,
+    ): AttemptEnd? {
+        unnumberedBytes += piece.bytes.size
+        val events = splitter.add(piece.bytes)
+        if (splitter.isTooLong) return AttemptEnd.Broken("event exceeds ${EventSplitter.MAX_EVENT_BYTES} bytes")
+        if (events?.lastId != null) unnumberedBytes = 0
+        if (unnumberedBytes > EventSplitter.MAX_EVENT_BYTES) return AttemptEnd.Broken("$unnumberedBytes bytes of events without a number")
+        return events?.let { forwardEvents(it, head) }
+    }
+
     /** Forwards [events] to the caller; returns the attempt's end if they can't be forwarded. */
     private suspend fun forwardEvents(
         events: Events,
         head: HttpResponsePart.Head,
     ): AttemptEnd? {
         if (leavesGap(events)) return AttemptEnd.Broken("gap in event numbers")
-        timing.record(loop.now())
+        lastProgress = loop.now()
+        timing.record(lastProgress)
         if (isFirst) markPrefilled()
         isFirst = false
         if (!reply.isStarted) reply.start(head.status, format.returnedHeaders(head.headers))
@@ -206,8 +228,8 @@
         connection: HttpClientConnection,
         waitUntilDeadline: Boolean,
     ): HttpResponsePart? {
-        val now = loop.now()
-        val end = if (waitUntilDeadline) request.deadline else minOf(request.deadline, now + eventTimeoutMillis())
+        // Bytes that complete no event don't extend the time.
+        val end = if (waitUntilDeadline) request.deadline else minOf(request.deadline, lastProgress + eventTimeoutMillis())
         var checkMillis = firstCheckMillis()
         while (loop.now() < end) {
             connection.receive(minOf(end - loop.now(), checkMillis))?.let { return it }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -27,12 +27,20 @@
     private val workTracker: WorkTracker,
     private val memory: EngineMemory,
     private val random: Random,
+    private val buffers: BufferBudget,
 ) {
     /** Answers [request] through [reply]; returns the outcome for the log. */
     suspend fun forward(
         request: AdmittedRequest,
         kind: RequestKind.Stream,
         reply: HttpResponseWriter,
+    ): String = buffers.share().use { forward(request, kind, reply, it) }
+
+    private suspend fun forward(
+        request: AdmittedRequest,
+        kind: RequestKind.Stream,
+        reply: HttpResponseWriter,
+        share: BufferBudget.Share,
     ): String {
         val figures = request.service.engine ?: DEFAULT_FIGURES
         val progress = StreamProgress(request.head.lastEvent)
@@ -42,7 +50,7 @@
             val isLast = attempts.sent + 1 >= request.route.maxAttempts || !kind.resumable
             attempts.recordStart(placement.main, *inputs(request, placement, progress))
             val attempt =
-                StreamAttempt(loop, connector, format, selector, workTracker, memory, request, placement, figures, progress, reply)
+                StreamAttempt(loop, connector, format, selector, workTracker, memory, request, placement, figures, progress, reply, share)
             val end = attempt.run(waitUntilDeadline = isLast)
             attempts.recordEnd(placement.main, end, attempt.faultyTarget ?: placement.main, *attempt.timing.fields())
             if (reply.isComplete) return "answered:events_${progress.events}"
