Keep engines to spare in the pool for short prompts, and read the store as often as the site's limits need

Change: the pool has a fifth of the zone's engines to spare and fills 0.45 of the slots; short prompts are told after 100 ms, not 250; a pool of another zone is assumed to be half as large again.

--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/ShortPool.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/ShortPool.kt
@@ -17,6 +17,9 @@
     val size: Int,
     val assumedActive: Int,
 ) {
+    /** Returns the part of a list of [engines] in another zone that short prompts may have, whose number there is not known. */
+    fun assumedSizeOf(engines: Int): Int = minOf((size * FOREIGN_MARGIN).toInt(), ceil(engines * MAX_SHARE).toInt())
+
     companion object {
         /** Returns the pool for [shortRequests] concurrent short requests on [engines] engines with [slots] slots each. */
         fun of(
@@ -31,12 +34,15 @@
         }
 
         /** Share of the slots that random placement fills on average; the rest is for engines that are drawn more often than others. */
-        private const val PACKED_SHARE = 0.5
+        private const val PACKED_SHARE = 0.45
 
-        /** Share of the engines added to the pool for requests that arrive before their numbers are told. */
-        private const val SPARE_SHARE = 0.05
+        /** Share of the engines added to the pool: the first requests of a burst arrive before their numbers are told. */
+        private const val SPARE_SHARE = 0.2
 
         /** Largest share of the engines in the pool, so that short prompts never take all of them. */
         private const val MAX_SHARE = 0.7
+
+        /** Factor between the pools of two zones that is assumed not to be exceeded. */
+        private const val FOREIGN_MARGIN = 1.5
     }
 }
--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/GatewaySettings.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/GatewaySettings.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import yuccaferry.gateway.GatewayLimits
+import yuccaferry.platform.StoreTiming
 import yuccaferry.platform.parseAddress
 import java.nio.file.Path
 
@@ -20,6 +21,7 @@
  * @property host address of this instance.
  * @property internalPorts first and last port for messages between daemons; the daemon uses the first.
  * @property store `host:port` of the platform's key-value service.
+ * @property timing times within which changes in the platform's service take effect.
  */
 @Serializable
 data class GatewaySettings(
@@ -33,6 +35,7 @@
     val internalPorts: List<Int>,
     val store: String,
     val limits: GatewayLimits,
+    val timing: StoreTiming = StoreTiming(),
 ) {
     companion object {
         private val json = Json { ignoreUnknownKeys = false }
@@ -59,6 +62,13 @@
             ).forEach { (field, address) ->
                 requireNotNull(parseAddress(address)) { "settings $path: $field: expected a.b.c.d:port, found $address" }
             }
+            mapOf(
+                "drainMillis" to settings.timing.drainMillis,
+                "configurationMillis" to settings.timing.configurationMillis,
+                "reconnectMillis" to settings.timing.reconnectMillis,
+            ).forEach { (field, millis) ->
+                require(millis > 0) { "settings $path: timing.$field: expected more than 0, found $millis" }
+            }
             require(settings.internalPorts.isNotEmpty()) { "settings $path: internalPorts: expected the first and last port, found none" }
             return settings
         }
--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
@@ -97,6 +97,7 @@
             daemon.peers,
             telemetry,
             random,
+            settings.timing,
         )
     try {
         runBlocking(loop.scope.coroutineContext) {
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
@@ -154,5 +154,5 @@
     COMPLETE(batchMillis = 30, nearRepeatMillis = 500, farRepeatMillis = 500),
 
     /** Timing in a larger fleet, where short prompts are spread by sampling and need no fresh counts. */
-    PARTIAL(batchMillis = 250, nearRepeatMillis = 1_000, farRepeatMillis = 2_000),
+    PARTIAL(batchMillis = 100, nearRepeatMillis = 1_000, farRepeatMillis = 2_000),
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -98,7 +98,9 @@
             }
         if (first != null && search.isGood(first.plan)) return first
         val assumed = HashMap<TargetId, Int>()
-        (usable.zones - home).forEach { other -> usable.inZone(other).take(pool.size).forEach { assumed[it.id] = pool.assumedActive } }
+        (usable.zones - home).map { usable.inZone(it) }.forEach { other ->
+            other.take(pool.assumedSizeOf(other.size)).forEach { assumed[it.id] = pool.assumedActive }
+        }
         val others = (usable.zones - home).flatMap { usable.inZone(it) }
         return search.among(inHome + others) { target ->
             val load = loadOf(target, search.now)
