Place short prompts in the pool in fleets of every size

Cause: engines filled in a common order are chosen by several daemons at once. Change: the pool replaces the order for short prompts everywhere.

--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/ShortPool.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/ShortPool.kt
@@ -6,6 +6,7 @@
 package yuccaferry.decisions.dispatch
 
 import kotlin.math.ceil
+import kotlin.random.Random
 
 /**
  * Part of a list of engines that is meant for short prompts.
@@ -17,6 +18,12 @@
     val size: Int,
     val assumedActive: Int,
 ) {
+    /** Returns a few random engines of the pool, the start of [engines]; the least loaded of them is to receive a short prompt. */
+    fun <T> sample(
+        engines: List<T>,
+        random: Random,
+    ): List<T> = engines.take(size).shuffled(random).take(SAMPLED_ENGINES)
+
     /** Returns the part of a list of [engines] in another zone that short prompts may have, whose number there is not known. */
     fun assumedSizeOf(engines: Int): Int = minOf((size * FOREIGN_MARGIN).toInt(), ceil(engines * MAX_SHARE).toInt())
 
@@ -42,6 +49,9 @@
         /** Largest share of the engines in the pool, so that short prompts never take all of them. */
         private const val MAX_SHARE = 0.7
 
+        /** Engines compared for one prompt: few enough that daemons with the same knowledge seldom choose the same engine. */
+        private const val SAMPLED_ENGINES = 3
+
         /** Factor between the pools of two zones that is assumed not to be exceeded. */
         private const val FOREIGN_MARGIN = 1.5
     }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -51,9 +51,7 @@
                 waitedMillis = now - request.arrival,
                 remainingMillis = request.deadline - now,
             )
-        val search = PlacementSearch(streamPlacement, prompt, request.service, tried, now)
-        if (workTracker.isComplete) return search.among(usable.all) { loadOf(it, now) }
-        return placeWithPartialKnowledge(search, usable)
+        return place(PlacementSearch(streamPlacement, prompt, request.service, tried, now), usable)
     }
 
     /** Returns the placement of prompts on engines with [figures]. */
@@ -76,38 +74,54 @@
         now: MonotonicTime,
     ) = coldSends.record(target, now)
 
-    /**
-     * Searches one zone, whose short prompts are known best, and all zones only if that finds no good placement. Engines of other zones
-     * are assumed to have as many short prompts as those of this one.
-     */
-    private fun placeWithPartialKnowledge(
+    /** Searches the engines whose work is known first, and all engines only if that finds no good placement. */
+    private fun place(
         search: PlacementSearch,
         usable: UsableTargets,
     ): Placement? {
-        val home = if (zone in usable.zones) zone else usable.zones.randomOrNull(random) ?: return null
-        val inHome = usable.inZone(home)
-        val slots = maxOf(1, inHome.first().slots)
-        val zones = maxOf(1, fleet.members.mapNotNullTo(HashSet()) { it.zone }.size)
-        val shortRequests = workTracker.shortRequests(search.now) * zones / usable.zones.size
-        val pool = ShortPool.of(shortRequests, inHome.size, slots)
-        val first =
-            if (search.isLong) {
-                search.among(inHome) { loadOf(it, search.now) }
-            } else {
-                search.among(inHome.take(pool.size).shuffled(random).take(SAMPLED_ENGINES)) { loadOf(it, search.now) }
-            }
+        val known = knownTargets(usable)
+        if (known.isEmpty()) return null
+        val pool = ShortPool.of(shortRequests(usable, search.now), known.size, maxOf(1, known.first().slots))
+        val first = search.among(if (search.isLong) known else pool.sample(known, random)) { loadOf(it, search.now) }
         if (first != null && search.isGood(first.plan)) return first
-        val assumed = HashMap<TargetId, Int>()
-        (usable.zones - home).map { usable.inZone(it) }.forEach { other ->
-            other.take(pool.assumedSizeOf(other.size)).forEach { assumed[it.id] = pool.assumedActive }
-        }
-        val others = (usable.zones - home).flatMap { usable.inZone(it) }
-        return search.among(inHome + others) { target ->
+        val assumedActive = assumedActive(usable, known, pool)
+        return search.among(known + (usable.all - known.toSet())) { target ->
             val load = loadOf(target, search.now)
-            load.copy(active = maxOf(load.active, assumed[target.id] ?: 0))
+            load.copy(active = maxOf(load.active, assumedActive[target.id] ?: 0))
         }
     }
 
+    /** Targets whose short prompts are known: all of them in a small fleet, otherwise those of one zone. */
+    private fun knownTargets(usable: UsableTargets): List<Target> {
+        if (workTracker.isComplete) return usable.all
+        val home = if (zone in usable.zones) zone else usable.zones.randomOrNull(random)
+        return home?.let { usable.inZone(it) }.orEmpty()
+    }
+
+    /** Estimates the short requests at the known targets; those of a zone without usable targets go to the other zones. */
+    private fun shortRequests(
+        usable: UsableTargets,
+        now: MonotonicTime,
+    ): Double {
+        val known = workTracker.shortRequests(now)
+        if (workTracker.isComplete) return known
+        val zones = fleet.members.mapNotNullTo(HashSet()) { it.zone }.size
+        return known * maxOf(1.0, zones.toDouble() / usable.zones.size)
+    }
+
+    /** Assumes that other zones have as many short requests as the one of the [known] targets; returns them by target. */
+    private fun assumedActive(
+        usable: UsableTargets,
+        known: List<Target>,
+        pool: ShortPool,
+    ): Map<TargetId, Int> {
+        if (workTracker.isComplete) return emptyMap()
+        return (usable.zones - known.first().zone)
+            .map { usable.inZone(it) }
+            .flatMap { it.take(pool.assumedSizeOf(it.size)) }
+            .associate { it.id to pool.assumedActive }
+    }
+
     private fun candidates(
         targets: List<Target>,
         service: ServiceDefinition,
@@ -164,11 +178,6 @@
         /** Returns whether [plan] is as good as one on any other engine would be likely to be. */
         fun isGood(plan: StreamPlan): Boolean = streamPlacement.isUncontended(prompt, plan)
     }
-
-    private companion object {
-        /** Engines of the pool among which a short prompt takes the least loaded one. */
-        const val SAMPLED_ENGINES = 3
-    }
 }
 
 /**
