Recognise slow engines by late first events, and share penalties between daemons

Cause: an engine that is several times slower while its health check passes got as much work as before: only failures counted, and each daemon learnt of them alone, from one or two requests a second. Change: what a first event takes beyond twice its predicted time and 100 ms is a penalty with a half-life of 4 s, dropped by an event on time. Daemons add their highest penalties to the messages about work; a penalty counts once two daemons agree, since one may be cut off itself. TargetHealth moves to decisions.

--- a/gateway/src/test/kotlin/yuccaferry/gateway/request/TargetHealthTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/TargetHealthTest.kt
@@ -1,4 +1,4 @@
-package yuccaferry.gateway.request
+package yuccaferry.decisions.dispatch
 
 import org.junit.jupiter.api.Nested
 import yuccaferry.model.Incarnation
@@ -56,4 +56,39 @@
         assertEquals(0.0, penalty(of = Incarnation("2")))
         assertTrue(penalty() > 0)
     }
+
+    @Nested
+    inner class `a target whose first events are late` {
+        @Test
+        fun `gets what exceeds the usual error as a penalty`() {
+            health.recordFirstEvent(target, run, predictedMillis = 100.0, observedMillis = 700.0, start)
+            assertEquals(400.0, penalty())
+        }
+
+        @Test
+        fun `gets no penalty within the usual error`() {
+            health.recordFirstEvent(target, run, predictedMillis = 100.0, observedMillis = 290.0, start)
+            assertEquals(0.0, penalty())
+        }
+
+        @Test
+        fun `is trusted again after an event on time`() {
+            repeat(3) { health.recordFirstEvent(target, run, predictedMillis = 100.0, observedMillis = 700.0, start) }
+            health.recordFirstEvent(target, run, predictedMillis = 100.0, observedMillis = 120.0, start + 100)
+            assertEquals(0.0, penalty(millisLater = 100))
+        }
+
+        @Test
+        fun `is tried again within seconds however late its events were`() {
+            repeat(30) { health.recordFirstEvent(target, run, predictedMillis = 100.0, observedMillis = 9_000.0, start) }
+            assertTrue(penalty(millisLater = 12_000) < 150)
+        }
+    }
+
+    @Test
+    fun `reports the highest penalties to peers`() {
+        health.recordFailure(target, run, TargetHealth.BROKEN_MILLIS, start)
+        health.recordFirstEvent(TargetId("u"), run, predictedMillis = 100.0, observedMillis = 310.0, start)
+        assertEquals(listOf(TargetPenalty(target, run, 3_000.0)), health.reportable(start))
+    }
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -4,6 +4,8 @@
 import kotlinx.coroutines.delay
 import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.Telemetry
+import yuccaferry.decisions.dispatch.PeerReports
+import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.routing.CallerLimits
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.Header
@@ -21,7 +23,6 @@
 import yuccaferry.gateway.request.Gateway
 import yuccaferry.gateway.request.RetryPolicy
 import yuccaferry.gateway.request.StreamForwarder
-import yuccaferry.gateway.request.TargetHealth
 import yuccaferry.gateway.request.TargetSelector
 import yuccaferry.gateway.view.FleetView
 import yuccaferry.model.DaemonName
@@ -48,11 +49,13 @@
 ) {
     private val workTracker = WorkTracker()
 
+    private val health = TargetHealth()
+    private val reports = PeerReports()
+
     /** Exchanges messages with other daemons. */
-    val peers = PeerLink(loop, DaemonName(name), zone, workTracker, telemetry)
+    val peers = PeerLink(loop, DaemonName(name), zone, workTracker, health, reports, telemetry)
     private val connector = HttpClientConnector(loop)
-    private val health = TargetHealth()
-    private val selector = TargetSelector(fleet, workTracker, health, DaemonName(name), zone, limits, random)
+    private val selector = TargetSelector(fleet, workTracker, health, reports, DaemonName(name), zone, limits, random)
     private val tracker = AttemptTracker(loop, format, health, RetryPolicy(fleet, limits), AttemptLog(telemetry))
     private val buffers = BufferBudget()
     private val calls = CallForwarder(loop, connector, format, selector, tracker, workTracker, buffers)
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
@@ -17,19 +17,26 @@
 import kotlinx.serialization.encodeToByteArray
 import kotlinx.serialization.protobuf.ProtoBuf
 import yuccaferry.daemon.port.Telemetry
+import yuccaferry.decisions.dispatch.PeerReports
+import yuccaferry.decisions.dispatch.TargetHealth
+import yuccaferry.decisions.dispatch.TargetPenalty
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.awaitFailure
 import yuccaferry.gateway.view.Member
 import yuccaferry.model.DaemonName
+import yuccaferry.model.Incarnation
+import yuccaferry.model.TargetId
 import yuccaferry.model.ZoneName
 import java.net.InetSocketAddress
 
-/** Sends the work of the daemon [name] in [zone] from [workTracker] to its peers, and records theirs there. */
+/** Sends the work of the daemon [name] in [zone] from [workTracker] and the penalties of [health] to its peers, and records theirs. */
 class PeerLink internal constructor(
     private val loop: EventLoop,
     private val name: DaemonName,
     private val zone: ZoneName,
     private val workTracker: WorkTracker,
+    private val health: TargetHealth,
+    private val reports: PeerReports,
     private val telemetry: Telemetry,
 ) {
     private val start = System.currentTimeMillis()
@@ -100,13 +107,21 @@
     ) {
         val open = channel ?: return
         if (receivers.isEmpty()) return
-        val message = WorkMessage(name.value, start, ++sequence, work, repeatMillis * MISSED_REPEATS)
+        val penalties = health.reportable(loop.now()).map { ReportedPenalty(it.target.value, it.run.value, it.millis.toInt()) }
+        val message = WorkMessage(name.value, start, ++sequence, work, repeatMillis * MISSED_REPEATS, penalties)
         val bytes = ProtoBuf.encodeToByteArray(message)
         receivers.forEach { open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it.peerAddress)) }
         open.flush()
         sentMessages += receivers.size
     }
 
+    private fun receive(message: WorkMessage) {
+        val now = loop.now()
+        workTracker.receive(message, now)
+        val penalties = message.penalties.map { TargetPenalty(TargetId(it.target), Incarnation(it.run), it.millis.toDouble()) }
+        reports.receive(DaemonName(message.daemon), penalties, now)
+    }
+
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(
             context: ChannelHandlerContext,
@@ -114,7 +129,7 @@
         ) {
             receivedMessages++
             try {
-                workTracker.receive(ProtoBuf.decodeFromByteArray<WorkMessage>(ByteBufUtil.getBytes(packet.content())), loop.now())
+                receive(ProtoBuf.decodeFromByteArray<WorkMessage>(ByteBufUtil.getBytes(packet.content())))
             } catch (invalid: SerializationException) {
                 telemetry.count("yuccaferry_peer_messages_invalid_total")
             }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
@@ -10,6 +10,7 @@
  * @property daemon name of the sender.
  * @property start Unix time in ms at which the sender started; distinguishes its runs.
  * @property sequence number that increases with each message of a run.
+ * @property penalties penalties of targets that failed or were late.
  * @property validMillis time after which the work is no longer counted unless another message arrives.
  */
 @Serializable
@@ -19,6 +20,15 @@
     @ProtoNumber(3) val sequence: Long,
     @ProtoNumber(4) val targets: List<TargetWork>,
     @ProtoNumber(5) val validMillis: Long,
+    @ProtoNumber(6) val penalties: List<ReportedPenalty> = emptyList(),
+)
+
+/** Penalty in milliseconds of the run [run] of a target, as the sender sees it. */
+@Serializable
+internal class ReportedPenalty(
+    @ProtoNumber(1) val target: String,
+    @ProtoNumber(2) val run: String,
+    @ProtoNumber(3) val millis: Int,
 )
 
 /**
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/AttemptTracker.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/AttemptTracker.kt
@@ -2,6 +2,7 @@
 package yuccaferry.gateway.request
 
 import yuccaferry.daemon.port.Field
+import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.forward.AttemptEnd
 import yuccaferry.decisions.forward.finalAnswer
 import yuccaferry.gateway.net.EventLoop
@@ -49,6 +50,12 @@
             log.logStart(request, target, ends.size + 1, *inputs)
         }
 
+        /** Records that the first event from [target] arrived; [predictedMillis] is the time that was predicted for it. */
+        fun recordFirstEvent(
+            target: Target,
+            predictedMillis: Double,
+        ) = health.recordFirstEvent(target.id, target.incarnation, predictedMillis, (loop.now() - start).toDouble(), loop.now())
+
         /** Records that the attempt at [target] ended; [faultyTarget] is the target at fault if it failed. */
         fun recordEnd(
             target: Target,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -32,6 +32,7 @@
     private val progress: StreamProgress,
     private val reply: HttpResponseWriter,
     private val share: BufferBudget.Share,
+    private val onFirstEvent: () -> Unit,
 ) {
     private val splitter = EventSplitter()
 
@@ -191,8 +192,11 @@
         if (leavesGap(events)) return AttemptEnd.Broken("gap in event numbers")
         lastProgress = loop.now()
         timing.record(lastProgress)
-        if (isFirst) markPrefilled()
-        isFirst = false
+        if (isFirst) {
+            isFirst = false
+            markPrefilled()
+            onFirstEvent()
+        }
         if (!reply.isStarted) reply.start(head.status, format.returnedHeaders(head.headers))
         progress.events++
         progress.lastEvent = events.lastId ?: progress.lastEvent
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -50,7 +50,10 @@
             val isLast = attempts.sent + 1 >= request.route.maxAttempts || !kind.resumable
             attempts.recordStart(placement.main, *inputs(request, placement, progress))
             val attempt =
-                StreamAttempt(loop, connector, format, selector, workTracker, memory, request, placement, figures, progress, reply, share)
+                StreamAttempt(loop, connector, format, selector, workTracker, memory, request, placement, figures, progress, reply, share) {
+                    // The time of a prompt that is read in parts depends on several engines.
+                    if (placement.helpers.isEmpty()) attempts.recordFirstEvent(placement.main, placement.plan.predictedMillis)
+                }
             val end = attempt.run(waitUntilDeadline = isLast)
             attempts.recordEnd(placement.main, end, attempt.faultyTarget ?: placement.main, *attempt.timing.fields())
             if (reply.isComplete) return "answered:events_${progress.events}"
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -2,10 +2,12 @@
 package yuccaferry.gateway.request
 
 import yuccaferry.decisions.dispatch.EngineModel
+import yuccaferry.decisions.dispatch.PeerReports
 import yuccaferry.decisions.dispatch.Prompt
 import yuccaferry.decisions.dispatch.ShortPool
 import yuccaferry.decisions.dispatch.StreamPlacement
 import yuccaferry.decisions.dispatch.StreamPlan
+import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.dispatch.TargetLoad
 import yuccaferry.decisions.dispatch.placeCall
 import yuccaferry.decisions.routing.EngineFigures
@@ -26,6 +28,7 @@
     private val fleet: FleetView,
     private val workTracker: WorkTracker,
     private val health: TargetHealth,
+    private val reports: PeerReports,
     own: DaemonName,
     private val zone: ZoneName,
     private val limits: () -> GatewayLimits,
@@ -144,11 +147,19 @@
             remainingPrefillMillis = totals.remainingPrefillMillis,
             heldTokens = totals.heldTokens,
             longRequests = totals.longRequests,
-            penaltyMillis = health.penaltyMillis(target.id, target.incarnation, now),
+            penaltyMillis = penaltyOf(target, now),
             slots = maxOf(1, target.slots),
         )
     }
 
+    private fun penaltyOf(
+        target: Target,
+        now: MonotonicTime,
+    ): Double {
+        val own = health.penaltyMillis(target.id, target.incarnation, now)
+        return maxOf(own, reports.agreedMillis(target.id, target.incarnation, own, now))
+    }
+
     /** The search for a placement of one [prompt]. */
     private inner class PlacementSearch(
         private val streamPlacement: StreamPlacement,
