--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/TargetHealth.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/TargetHealth.kt
@@ -22,6 +22,10 @@
         return if (value < NEGLIGIBLE_MILLIS) 0.0 else value
     }
 
+    /** Returns the targets that recently failed so that hardly any request may be sent there. */
+    fun failing(now: MonotonicTime): List<TargetId> =
+        failures.filter { (_, score) -> score.of(score.run, now) >= FAILING_MILLIS }.map { it.key }
+
     /** Returns the highest penalties, to be reported to peers. */
     fun reportable(now: MonotonicTime): List<TargetPenalty> =
         (lateness + failures)
@@ -133,6 +137,9 @@
         /** Share of a failure's penalty that counts at a target that recently answered. */
         private const val SPORADIC_SHARE = 0.15
 
+        /** Penalty above which a target counts as failing: that of one that could not be reached a half-life ago. */
+        private const val FAILING_MILLIS = 3_000.0
+
         /** Smallest penalty that is reported to peers. */
         private const val REPORTABLE_MILLIS = 150.0
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -82,7 +82,7 @@
         search: PlacementSearch,
         usable: UsableTargets,
     ): Placement? {
-        val known = knownTargets(usable)
+        val known = knownTargets(usable, failingZones(search, usable))
         if (known.isEmpty()) return null
         val pool = ShortPool.of(shortRequests(usable, search.now), known.size, maxOf(1, known.first().slots))
         val first = search.among(if (search.isLong) known else pool.sample(known, random)) { loadOf(it, search.now) }
@@ -94,13 +94,34 @@
         }
     }
 
-    /** Targets whose short prompts are known: all of them in a small fleet, otherwise those of one zone. */
-    private fun knownTargets(usable: UsableTargets): List<Target> {
-        if (workTracker.isComplete) return usable.all
-        val home = if (zone in usable.zones) zone else usable.zones.randomOrNull(random)
+    /** Targets whose short prompts are known, all of them in a small fleet, otherwise those of one zone; without [failing] zones. */
+    private fun knownTargets(
+        usable: UsableTargets,
+        failing: Set<ZoneName>,
+    ): List<Target> {
+        val zones = usable.zones - failing
+        if (workTracker.isComplete) return usable.all.filter { it.zone in zones }.ifEmpty { usable.all }
+        val home = if (zone in zones) zone else zones.randomOrNull(random) ?: usable.zones.randomOrNull(random)
         return home?.let { usable.inZone(it) }.orEmpty()
     }
 
+    /**
+     * Zones in which this request or several others could not be served: a zone often fails as a whole, and to try its targets one by
+     * one would take longer than callers wait.
+     */
+    private fun failingZones(
+        search: PlacementSearch,
+        usable: UsableTargets,
+    ): Set<ZoneName> {
+        val failing =
+            health
+                .failing(search.now)
+                .mapNotNull { usable.zoneOf(it) }
+                .groupingBy { it }
+                .eachCount()
+        return search.tried.mapNotNullTo(HashSet()) { usable.zoneOf(it) } + failing.filterValues { it >= FAILING_TARGETS }.keys
+    }
+
     /** Estimates the short requests at the known targets; those of a zone without usable targets go to the other zones. */
     private fun shortRequests(
         usable: UsableTargets,
@@ -165,7 +186,7 @@
         private val streamPlacement: StreamPlacement,
         private val prompt: Prompt,
         private val service: ServiceDefinition,
-        private val tried: Set<TargetId>,
+        val tried: Set<TargetId>,
         val now: MonotonicTime,
     ) {
         val isLong = streamPlacement.isLong(prompt.promptTokens)
@@ -189,6 +210,11 @@
         /** Returns whether [plan] is as good as one on any other engine would be likely to be. */
         fun isGood(plan: StreamPlan): Boolean = streamPlacement.isUncontended(prompt, plan)
     }
+
+    private companion object {
+        /** Failing targets of one zone from which on the zone is avoided. */
+        const val FAILING_TARGETS = 3
+    }
 }
 
 /**
--- a/gateway/src/main/kotlin/yuccaferry/gateway/view/UsableTargets.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/view/UsableTargets.kt
@@ -1,6 +1,7 @@
 // The targets of one service that may receive new work.
 package yuccaferry.gateway.view
 
+import yuccaferry.model.TargetId
 import yuccaferry.model.ZoneName
 
 /**
@@ -12,10 +13,14 @@
     val all: List<Target>,
 ) {
     private val byZone = all.groupBy { it.zone }
+    private val zoneById = all.associate { it.id to it.zone }
 
     /** Zones that have a target. */
     val zones: Set<ZoneName> get() = byZone.keys
 
     /** Returns the targets in [zone], ordered by id. */
     fun inZone(zone: ZoneName): List<Target> = byZone[zone].orEmpty()
+
+    /** Returns the zone of the target [id]; null if it isn't one of these. */
+    fun zoneOf(id: TargetId): ZoneName? = zoneById[id]
 }
--- /dev/null
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/request/TargetSelectorTest.kt
@@ -0,0 +1,159 @@
+package yuccaferry.gateway.request
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import org.junit.jupiter.api.Nested
+import yuccaferry.daemon.port.NoTelemetry
+import yuccaferry.decisions.dispatch.PeerReports
+import yuccaferry.decisions.dispatch.TargetHealth
+import yuccaferry.decisions.routing.EngineFigures
+import yuccaferry.decisions.routing.RequestKind
+import yuccaferry.decisions.routing.Route
+import yuccaferry.decisions.routing.ServiceDefinition
+import yuccaferry.decisions.routing.TrafficShare
+import yuccaferry.gateway.GatewayLimits
+import yuccaferry.gateway.net.IncomingRequest
+import yuccaferry.gateway.peers.Work
+import yuccaferry.gateway.peers.WorkTracker
+import yuccaferry.gateway.port.RequestHead
+import yuccaferry.gateway.view.FleetView
+import yuccaferry.gateway.view.Member
+import yuccaferry.gateway.view.Target
+import yuccaferry.model.DaemonName
+import yuccaferry.model.Incarnation
+import yuccaferry.model.MonotonicTime
+import yuccaferry.model.RequestId
+import yuccaferry.model.ServiceName
+import yuccaferry.model.TargetId
+import yuccaferry.model.ZoneName
+import java.net.InetSocketAddress
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+
+/** A daemon in zone a of five, each with 39 engines, that knows the short prompts of its own zone only. */
+class TargetSelectorTest {
+    private val zones = listOf("a", "b", "c", "d", "e").map { ZoneName(it) }
+    private val service = ServiceName("engines")
+    private val own = DaemonName("a-1")
+    private val now = MonotonicTime(100_000)
+    private val fleet = FleetView(NoTelemetry)
+    private val workTracker = WorkTracker().also { it.isComplete = false }
+    private val health = TargetHealth()
+    private val limits = { GatewayLimits(1.5, 5.0, 0.2, 260.0, 10.0, 8.0) }
+    private val selector = TargetSelector(fleet, workTracker, health, PeerReports(), own, zones.first(), limits, Random(1))
+    private val figures = EngineFigures(10, 405_000, 1.31, 0.000917, 0.00213, 154.0, 0.162, 2_048, 53)
+
+    init {
+        for (zone in zones) repeat(ENGINES) { putTarget(zone, it) }
+        fleet.setMembers(zones.flatMap { zone -> (1..19).map { member("$zone-$it", zone) } }, count = 95)
+    }
+
+    private fun member(
+        name: String,
+        zone: ZoneName,
+    ) = Member(DaemonName(name), InetSocketAddress("127.0.0.1", 1), zone)
+
+    private fun id(
+        zone: ZoneName,
+        number: Int,
+    ) = TargetId("$zone-%02d".format(number))
+
+    private fun putTarget(
+        zone: ZoneName,
+        number: Int,
+        coldUntil: MonotonicTime = Target.NOT_COLD,
+    ) = fleet.putTarget(
+        Target(id(zone, number), Incarnation("1"), service, InetSocketAddress("127.0.0.1", 1), zone, 10, isLeaving = false, coldUntil),
+    )
+
+    private fun request(tokens: Long) =
+        AdmittedRequest(
+            IncomingRequest("POST", "/", DefaultHttpHeaders(), ByteArray(0)),
+            RequestHead(RequestId("r"), "h", null, 10_000, tokens, 500, null),
+            Route("r", "h", "/", RequestKind.Stream(true, 300), listOf(TrafficShare(service, 1.0)), 10_000, 400, 2, 1, isPublic = true),
+            ServiceDefinition(service, coldStartMillis = 3_000, coldRequestsPerSecond = 14.0, engine = figures),
+            account = null,
+            version = 1,
+            arrival = now,
+            deadline = now + 10_000,
+        )
+
+    private fun place(
+        tokens: Long = 4_960,
+        tried: Set<TargetId> = emptySet(),
+    ) = selector.place(request(tokens), figures, tried, now)
+
+    private fun zonesOf(
+        tokens: Long = 4_960,
+        tried: Set<TargetId> = emptySet(),
+    ) = (1..40).map { assertNotNull(place(tokens, tried)).main.zone }.toSet()
+
+    private fun fail(
+        zone: ZoneName,
+        engines: Int,
+    ) = repeat(engines) { health.recordFailure(id(zone, it), Incarnation("1"), TargetHealth.UNREACHABLE_MILLIS, now) }
+
+    @Nested
+    inner class `on a calm day` {
+        @Test
+        fun `short and long prompts stay in the zone`() {
+            assertEquals(setOf(zones[0]), zonesOf(tokens = 4_960))
+            assertEquals(setOf(zones[0]), zonesOf(tokens = 40_000))
+        }
+
+        @Test
+        fun `short prompts are spread over the pool`() {
+            assertTrue((1..100).map { place()?.main?.id }.toSet().size >= 5)
+        }
+    }
+
+    @Nested
+    inner class `when the engines of the zone are gone at once` {
+        @Test
+        fun `a request that met one of them goes to another zone`() {
+            assertTrue(zones[0] !in zonesOf(tried = setOf(id(zones[0], 0))))
+        }
+
+        @Test
+        fun `requests go to other zones after three of them failed`() {
+            fail(zones[0], engines = 2)
+            assertEquals(setOf(zones[0]), zonesOf())
+            fail(zones[0], engines = 3)
+            assertTrue(zones[0] !in zonesOf())
+        }
+    }
+
+    @Nested
+    inner class `when the zone is out of service` {
+        @Test
+        fun `its requests are spread over the other zones`() {
+            fleet.setZonesOut(setOf(zones[0]))
+            assertEquals(zones.drop(1).toSet(), zonesOf())
+        }
+    }
+
+    @Nested
+    inner class `when all engines return cold` {
+        @Test
+        fun `some of them may receive a request from this daemon`() {
+            for (zone in zones) repeat(ENGINES) { putTarget(zone, it, coldUntil = now + 3_000) }
+            assertNotNull(place())
+        }
+    }
+
+    @Nested
+    inner class `when the zone is full of long prompts` {
+        @Test
+        fun `a short prompt goes to another zone`() {
+            repeat(ENGINES) { workTracker.begin(Work(id(zones[0], it), 300_000, isLong = true, prefillMillis = 4_000.0, start = now)) }
+            assertNotEquals(zones[0], assertNotNull(place()).main.zone)
+        }
+    }
+
+    private companion object {
+        const val ENGINES = 39
+    }
+}
