--- a/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakFleet.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakFleet.kt
@@ -23,9 +23,7 @@
 import yuccaferry.standin.proxy.TcpProxy
 import yuccaferry.standin.server.HostPort
 import java.io.File
-import java.net.DatagramSocket
 import java.net.InetSocketAddress
-import java.net.ServerSocket
 
 /** A daemon process; [startCount] is the number of its starts. */
 internal class SoakDaemon(
@@ -155,7 +153,7 @@
         storeAddress: HostPort,
     ): SoakDaemon {
         val link = TcpProxy(ANY_PORT, storeAddress)
-        val ports = freePorts()
+        val ports = List(3) { StablePorts.take() }
         val settings =
             GatewaySettings(
                 settingsVersion = 1,
@@ -165,7 +163,7 @@
                 readiness = "127.0.0.1:${ports[1]}",
                 metrics = "127.0.0.1:${ports[2]}",
                 host = "127.0.0.1",
-                internalPorts = listOf(DatagramSocket(0).use { it.localPort }),
+                internalPorts = listOf(StablePorts.take()),
                 store = link.start().toString(),
                 limits =
                     GatewayLimits(
@@ -186,11 +184,6 @@
         const val KEY = "key"
         const val ZONE = "z"
         private val ANY_PORT = HostPort("127.0.0.1", 0)
-
-        private fun freePorts(): List<Int> {
-            val sockets = List(3) { ServerSocket(0) }
-            return sockets.map { it.localPort }.also { sockets.forEach { it.close() } }
-        }
     }
 }
 
