Refuse prompts that can't be read before their deadline at once, and spread the return of refused callers

Cause: a prompt whose predicted time exceeds its caller's patience was sent all the same and took engine time until its deadline; Retry-After was 150 ms (100 ms for calls) for everybody, so that callers refused together returned together. Change: such a prompt is refused before anything is sent, with the time until its engine's reads are through; each return is spread by a hash of the request over as long again, within the third of the time left for which callers wait.

--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -77,6 +77,12 @@
         plan: StreamPlan,
     ): Boolean = isLong(prompt.promptTokens) && long.shouldWait(prompt, plan)
 
+    /** Returns whether [plan] can make the first event of [prompt] arrive before its deadline; predictions are rarely too long. */
+    fun isServable(
+        prompt: Prompt,
+        plan: StreamPlan,
+    ): Boolean = plan.predictedMillis < prompt.remainingMillis
+
     /** Returns whether [plan] makes [prompt] on time without meeting a long prompt, a full engine or one that failed recently. */
     fun isUncontended(
         prompt: Prompt,
--- /dev/null
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/forward/RetryAdvice.kt
@@ -0,0 +1,37 @@
+/*
+ * Decides when a refused caller may return. Callers that are refused in the same moment would return in the same moment and be refused
+ * again, so their returns are spread by a hash of the request, which needs no state.
+ */
+package yuccaferry.decisions.forward
+
+import com.dynatrace.hash4j.hashing.Hashing
+import yuccaferry.model.RequestId
+
+/**
+ * Returns the milliseconds after which the caller of [request] may retry: at least [minMillis] and the [backlogMillis] that are ahead of
+ * it, spread over as long again, and never more than the share of its [remainingMillis] that callers wait.
+ */
+fun retryAfterMillis(
+    request: RequestId?,
+    minMillis: Long,
+    backlogMillis: Double,
+    remainingMillis: Long,
+): Long {
+    // With the largest spread, the caller returns at twice this time.
+    val most = remainingMillis * MAX_SHARE_OF_REMAINING / 2
+    val base = maxOf(minMillis.toDouble(), minOf(backlogMillis, most))
+    return (base * (1 + spreadOf(request))).toLong()
+}
+
+/** Returns a number from zero to one that is the same for the same request. */
+private fun spreadOf(request: RequestId?): Double {
+    val hash = Hashing.komihash5_0().hashCharsToLong(request?.value.orEmpty())
+    return (hash ushr HASH_SHIFT).toDouble() / (1L shl HASH_BITS)
+}
+
+/** Share of the time left for which callers wait before they retry; those told to wait longer return at this time. */
+private const val MAX_SHARE_OF_REMAINING = 1.0 / 3
+
+/** Bits of a hash that a double represents exactly. */
+private const val HASH_BITS = 53
+private const val HASH_SHIFT = 64 - HASH_BITS
--- a/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/StreamPlacementTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/StreamPlacementTest.kt
@@ -219,4 +219,20 @@
             assertNull(place(prompt(550_000, 551_000), List(10) { engine("e$it", heldTokens = 400_000) }))
         }
     }
+
+    @Nested
+    inner class `a prompt that the engines can't read before its deadline` {
+        private val prompt = prompt(tokens = 900_000, totalTokens = 900_800)
+
+        private fun isServable(engines: Int): Boolean {
+            val idle = (1..engines).map { engine("engine-%02d".format(it)) }
+            return placement.isServable(prompt, assertNotNull(place(prompt, idle)))
+        }
+
+        @Test
+        fun `can't be served by four idle engines`() = assertFalse(isServable(engines = 4))
+
+        @Test
+        fun `can be served by as many as may read it together`() = assertTrue(isServable(engines = 20))
+    }
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
@@ -3,6 +3,7 @@
 
 import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.decisions.forward.AttemptEnd
+import yuccaferry.decisions.forward.retryAfterMillis
 import yuccaferry.decisions.routing.isIdempotent
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.HttpClientConnection
@@ -48,7 +49,9 @@
             failure = answer ?: failure
             if (!attempts.canRetry(MAX_TARGETS)) break
         }
-        return failure?.respond(format, reply) ?: attempts.refuse(reply, RETRY_AFTER_MILLIS)
+        if (failure != null) return failure.respond(format, reply)
+        val remainingMillis = request.deadline - loop.now()
+        return attempts.refuse(reply, retryAfterMillis(request.head.id, MIN_RETRY_AFTER_MILLIS, backlogMillis = 0.0, remainingMillis))
     }
 
     private suspend fun attempt(
@@ -115,7 +118,7 @@
         /** Maximum number of attempts for one call while no target can be reached. */
         const val MAX_TARGETS = 3
 
-        /** Milliseconds after which a refused caller may retry: the duration of a few calls. */
-        const val RETRY_AFTER_MILLIS = 100L
+        /** Shortest time in milliseconds after which a refused caller may retry: the duration of a few calls. */
+        const val MIN_RETRY_AFTER_MILLIS = 100L
     }
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -6,6 +6,7 @@
 
 import kotlinx.coroutines.delay
 import yuccaferry.daemon.port.Field
+import yuccaferry.decisions.forward.retryAfterMillis
 import yuccaferry.decisions.routing.EngineFigures
 import yuccaferry.decisions.routing.RequestKind
 import yuccaferry.gateway.net.EventLoop
@@ -47,6 +48,7 @@
         val attempts = tracker.begin(request)
         while (attempts.hasTime) {
             val placement = place(request, figures, attempts.tried) ?: break
+            if (!placement.isServable && attempts.sent == 0) return refuseUnservable(request, placement, attempts, reply)
             val isLast = attempts.sent + 1 >= request.route.maxAttempts || !kind.resumable
             attempts.recordStart(placement.main, *inputs(request, placement, progress))
             val attempt =
@@ -60,9 +62,24 @@
             if (!attempts.canRetry(MAX_TARGETS)) break
         }
         if (reply.isStarted) return "cut:events_${progress.events}"
-        return progress.failure?.respond(format, reply) ?: attempts.refuse(reply, RETRY_AFTER_MILLIS)
+        return progress.failure?.respond(format, reply) ?: attempts.refuse(reply, retryAfter(request, backlogMillis = 0.0))
     }
 
+    private fun refuseUnservable(
+        request: AdmittedRequest,
+        placement: Placement,
+        attempts: AttemptTracker.Attempts,
+        reply: HttpResponseWriter,
+    ): String {
+        attempts.refuse(reply, retryAfter(request, placement.plan.main.remainingPrefillMillis))
+        return "unservable:predicted_${placement.plan.predictedMillis.toInt()}"
+    }
+
+    private fun retryAfter(
+        request: AdmittedRequest,
+        backlogMillis: Double,
+    ) = retryAfterMillis(request.head.id, MIN_RETRY_AFTER_MILLIS, backlogMillis, request.deadline - loop.now())
+
     private suspend fun place(
         request: AdmittedRequest,
         figures: EngineFigures,
@@ -103,8 +120,8 @@
         const val MIN_WAIT_MILLIS = 15L
         const val MAX_WAIT_MILLIS = 60L
 
-        /** Milliseconds after which a refused caller may retry: a few passes of an engine. */
-        const val RETRY_AFTER_MILLIS = 150L
+        /** Shortest time in milliseconds after which a refused caller may retry: a few passes of an engine. */
+        const val MIN_RETRY_AFTER_MILLIS = 150L
 
         /** Figures for services that state none: with them every prompt counts as short. */
         val DEFAULT_FIGURES =
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -202,6 +202,7 @@
             return Placement(
                 plan,
                 shouldWait = tried.isEmpty() && streamPlacement.shouldWait(prompt, plan),
+                isServable = streamPlacement.isServable(prompt, plan),
                 main = byId.getValue(plan.main.id),
                 helpers = plan.helpers.map { HelperTarget(byId.getValue(it.engine.id), it.reservedTokens) },
             )
@@ -221,10 +222,12 @@
  * The targets of a [plan].
  *
  * @property shouldWait whether a later plan is likely to serve the request sooner.
+ * @property isServable whether the first event can arrive before the request's deadline.
  */
 internal class Placement(
     val plan: StreamPlan,
     val shouldWait: Boolean,
+    val isServable: Boolean,
     val main: Target,
     val helpers: List<HelperTarget>,
 )
