--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
@@ -12,8 +12,6 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import kotlinx.serialization.protobuf.ProtoBuf
 import yuccaferry.daemon.port.Telemetry
@@ -128,11 +126,8 @@
             packet: DatagramPacket,
         ) {
             receivedMessages++
-            try {
-                receive(ProtoBuf.decodeFromByteArray<WorkMessage>(ByteBufUtil.getBytes(packet.content())))
-            } catch (invalid: SerializationException) {
-                telemetry.count("yuccaferry_peer_messages_invalid_total")
-            }
+            val message = decodeMessage(ByteBufUtil.getBytes(packet.content()))
+            if (message != null) receive(message) else telemetry.count("yuccaferry_peer_messages_invalid_total")
         }
 
         @Deprecated("Netty's own signature")
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
@@ -2,6 +2,8 @@
 package yuccaferry.gateway.peers
 
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.protobuf.ProtoBuf
 import kotlinx.serialization.protobuf.ProtoNumber
 
 /**
@@ -47,3 +49,21 @@
     @ProtoNumber(4) val heldTokens: Long,
     @ProtoNumber(5) val longRequests: Int,
 )
+
+/** Decodes a datagram; returns null if it isn't a message with plausible values. */
+internal fun decodeMessage(bytes: ByteArray): WorkMessage? {
+    val message =
+        try {
+            ProtoBuf.decodeFromByteArray<WorkMessage>(bytes)
+        } catch (invalid: RuntimeException) {
+            // The decoder throws SerializationException, but also IndexOutOfBoundsException where a length is wrong.
+            return null
+        }
+    return message.takeIf { it.targets.all { work -> work.isPlausible } }
+}
+
+private val TargetWork.isPlausible: Boolean
+    get() = active in 0..MAX_REQUESTS && longRequests in 0..active && readingMillis >= 0 && heldTokens >= 0
+
+/** Most requests of one daemon at one target. */
+private const val MAX_REQUESTS = 100_000
