Count a response head's bytes from the last head on

Finding while reading the diff: the new limit on heads added up all small answers of a kept connection, each of which arrives in one read, and closed the connection to the store after 64 KB in all (about 940 calls). Test: 2,000 answers on one connection; three connections were used before, one now.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/ResponseReader.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/ResponseReader.kt
@@ -19,6 +19,10 @@
 ) : ChannelInboundHandlerAdapter() {
     private var informational = false
 
+    /** Number of heads of final responses so far. */
+    var heads = 0L
+        private set
+
     /** Whether the head of the next final response is still to come. */
     var awaitsHead = true
         private set
@@ -46,6 +50,7 @@
         informational = status.codeClass() == HttpStatusClass.INFORMATIONAL
         if (informational) return
         awaitsHead = false
+        heads++
         inbox.add(HttpResponsePart.Head(status.code(), status.reasonPhrase(), head.headers()))
     }
 
@@ -87,9 +92,11 @@
         context: ChannelHandlerContext,
         message: Any,
     ) {
-        bytes = if (reader.awaitsHead) bytes + (message as ByteBuf).readableBytes() else 0
+        val headsBefore = reader.heads
+        bytes += (message as ByteBuf).readableBytes()
         context.fireChannelRead(message)
-        if (reader.awaitsHead && bytes > MAX_BYTES) reader.end(context, "response head exceeds $MAX_BYTES bytes")
+        if (reader.heads > headsBefore || !reader.awaitsHead) bytes = 0
+        if (bytes > MAX_BYTES) reader.end(context, "response head exceeds $MAX_BYTES bytes")
     }
 
     private companion object {
