Replace an engine that stays silent while its caller still waits

Cause: an attempt waited 2 s and four times the predicted time for the first event, callers of short prompts leave after 2.4 s.

Change: half of the time for which callers wait, but at least 0.5 s and three times the predicted time; never longer than before. Tests: EventTimeoutsTest, and ForwardingTest (a target that takes the request and stays silent), both failing with the former time.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -3,6 +3,7 @@
 
 import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.decisions.forward.AttemptEnd
+import yuccaferry.decisions.forward.firstEventTimeoutMillis
 import yuccaferry.decisions.routing.EngineFigures
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.HttpClientConnection
@@ -252,10 +253,9 @@
 
     private fun firstCheckMillis(): Long = REACHABILITY_CHECK_MILLIS + if (isFirst) placement.plan.predictedMillis.toLong() else 0
 
-    /** Milliseconds without a part after which the attempt ends; longer for long prompts, because a retry repeats their prefill. */
     private fun eventTimeoutMillis(): Long {
         val predicted = placement.plan.predictedMillis.toLong()
-        return if (isFirst) FIRST_TIMEOUT_MILLIS + FIRST_TIMEOUT_FACTOR * predicted else GAP_TIMEOUT_MILLIS + GAP_TIMEOUT_FACTOR * predicted
+        return if (isFirst) firstEventTimeoutMillis(predicted, request.route) else GAP_TIMEOUT_MILLIS + GAP_TIMEOUT_FACTOR * predicted
     }
 
     private companion object {
@@ -270,12 +270,6 @@
          */
         const val REACHABILITY_CHECK_MILLIS = 500L
 
-        /** Constant part of the timeout for the first event, in ms. */
-        const val FIRST_TIMEOUT_MILLIS = 2_000L
-
-        /** Multiple of the predicted time that is added to the timeout for the first event. */
-        const val FIRST_TIMEOUT_FACTOR = 4
-
         /** Constant part of the timeout between events, in ms; callers with short prompts give up after two seconds. */
         const val GAP_TIMEOUT_MILLIS = 1_300L
 
