--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -1,6 +1,6 @@
 /*
- * Places prompts on engines. Long prompts delay every other request on the same engine, in prefill or decode, so short prompts
- * are packed on engines from the start of a common order, and long prompts use the engines that short ones leave free.
+ * Places prompts on engines. Long prompts delay every other request on the same engine, in prefill or decode, so short prompts take
+ * the cheapest of the engines that are compared for them, and long prompts use the engines that short ones leave free.
  */
 package yuccaferry.decisions.dispatch
 
