--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
@@ -118,6 +118,17 @@
     telemetry.event("started", Field("after_ms", System.currentTimeMillis() - ManagementFactory.getRuntimeMXBean().startTime))
     loop.scope.launch { file.follow(telemetry) }
     loop.scope.launch { logStatus(telemetry) { daemon.statistics + platform.statistics } }
+    handleSignals(loop, file, daemon, platform, telemetry)
+}
+
+/** Reloads the settings on SIGHUP, and stops the process on SIGTERM once its callers are served. */
+private fun handleSignals(
+    loop: EventLoop,
+    file: SettingsFile,
+    daemon: GatewayDaemon,
+    platform: PlatformAdapter,
+    telemetry: DaemonTelemetry,
+) {
     Signal.handle(Signal("HUP")) { loop.scope.launch { file.reload(telemetry) } }
     Signal.handle(Signal("TERM")) {
         loop.scope.launch { platform.leave() }
