Review: nest the unreadable entry of case 1 deeper

Tried: 10,000 opening brackets in place of 2,000, so that the stack doesn't suffice either where the compiler has made its frames small. Change: review/1.

--- a/review/1/UnreadableEntry.java
+++ b/review/1/UnreadableEntry.java
@@ -8,7 +8,7 @@
     private static final int GATEWAYS = 3;
     private static final int RUNNERS = 3;
     /** Bytes of the entry after its first field's name; the store takes values of 1,048,576 bytes. */
-    private static final int ENTRY_BYTES = 2_000;
+    private static final int ENTRY_BYTES = 10_000;
     /** Time between the entry and the operator's change. */
     private static final long PAUSE_MILLIS = 5_000;
     /** The bound of configurations; the gateways are asked for the first time after twice that. */
