--- a/review/5/CrashingPart.java
+++ b/review/5/CrashingPart.java
@@ -11,9 +11,14 @@
 final class CrashingPart {
     private static final int RUNNERS = 6;
     private static final int SLOTS = 11;
-    private static final long PLAY_MILLIS = 36_000;
-    private static final long SOUND_PAUSE_MILLIS = 100;
+    /** Time before, with and after requests with the part. */
+    private static final long CALM_MILLIS = 2_000;
+    private static final long BAD_MILLIS = 22_000;
+    /** Pauses between requests: one in twenty has the part. */
+    private static final long SOUND_PAUSE_MILLIS = 50;
     private static final long BAD_PAUSE_MILLIS = 1_000;
+    private static final int FIRST_TOKENS = 40;
+    private static final int PART_TOKENS = 200;
     /** Time in which a runner reads a prompt, and after which it is back from a crash. */
     private static final long READ_MILLIS = 40;
     private static final long BACK_MILLIS = 2_000;
@@ -53,7 +58,10 @@
         for (int number = 0; number < RUNNERS; number++) deployment.runner("brush", SLOTS, this::serve);
         deployment.startGateways(gateways);
 
-        long end = System.nanoTime() + PLAY_MILLIS * 1_000_000;
+        long start = System.nanoTime();
+        long badFrom = start + CALM_MILLIS * 1_000_000;
+        long badUntil = badFrom + BAD_MILLIS * 1_000_000;
+        long end = badUntil + CALM_MILLIS * 1_000_000;
         Deployment.daemon("sound clients", () -> {
             for (int number = 0; System.nanoTime() < end; number++) {
                 send(number, partId(1), "sound");
@@ -61,11 +69,12 @@
                 Thread.sleep(SOUND_PAUSE_MILLIS);
             }
         });
-        Thread.sleep(2_000);
-        for (int number = 0; System.nanoTime() < end; number++) {
+        Thread.sleep(CALM_MILLIS);
+        for (int number = 0; System.nanoTime() < badUntil; number++) {
             if (Deployment.isTroubled()) send(number, badPart, "bad");
             Thread.sleep(BAD_PAUSE_MILLIS);
         }
+        Thread.sleep(2 * CALM_MILLIS);
         return judge();
     }
 
@@ -87,7 +96,8 @@
         Deployment.daemon("client", () -> {
             String id = Client.newId();
             try (Client client = new Client(gateway.callers, DEADLINE_MILLIS)) {
-                String headers = "Model: m\r\nToken-Counts: 5000,100\r\nPrompt-Prefix: " + prompt(firstPart) + "\r\n";
+                int tokens = FIRST_TOKENS + (parts - 1) * PART_TOKENS;
+                String headers = "Model: m\r\nToken-Counts: " + tokens + ",100\r\nPrompt-Prefix: " + prompt(firstPart) + "\r\n";
                 client.send(Client.request("POST", "/lohu930/2f", id, DEADLINE_MILLIS, headers, "{}"));
                 Client.Answer answer = client.read();
                 deployment.record.line(kind + " request " + id + " at gateway " + (number % gateways + 1) + " gets: " + answer);
@@ -98,9 +108,9 @@
 
     /** Returns the parts of a prompt: the first one, those that all prompts share, and one of its own. */
     private String prompt(String firstPart) {
-        StringBuilder text = new StringBuilder(firstPart).append(":40");
-        for (int part = 2; part < parts; part++) text.append(',').append(partId(part)).append(":200");
-        return text.append(',').append(partId((int) (System.nanoTime() & 0x7fffffff))).append(":200").toString();
+        StringBuilder text = new StringBuilder(firstPart).append(':').append(FIRST_TOKENS);
+        for (int part = 2; part < parts; part++) text.append(',').append(partId(part)).append(':').append(PART_TOKENS);
+        return text.append(',').append(partId((int) (System.nanoTime() & 0x7fffffff))).append(':').append(PART_TOKENS).toString();
     }
 
     /** Returns an id of a part, which looks like a digest and is the same for the same number. */
--- a/review/standin/Runner.java
+++ b/review/standin/Runner.java
@@ -20,6 +20,8 @@
         void serve(Call call) throws Exception;
     }
 
+    /** Time for which a model runner is cold after its start, as the configuration says. */
+    private static final long COLD_MILLIS = 3_000;
     private static final AtomicInteger NUMBERS = new AtomicInteger();
 
     private final Deployment deployment;
@@ -31,6 +33,7 @@
     private volatile ServerSocket listener;
     private volatile long born;
     private volatile int port;
+    private volatile long coldMillis;
     volatile String id;
 
     Runner(Deployment deployment, String service, int slots, InetAddress host, Behaviour behaviour) throws IOException {
@@ -49,6 +52,16 @@
         register("ready");
     }
 
+    /** Starts during traffic: the runner is cold at first, and says so in its entry. */
+    private void startCold() throws Exception {
+        coldMillis = COLD_MILLIS;
+        start();
+        String started = id;
+        Thread.sleep(COLD_MILLIS);
+        coldMillis = 0;
+        if (listener != null && started.equals(id)) register("ready");
+    }
+
     private void listen() throws IOException {
         ServerSocket socket = new ServerSocket();
         socket.setReuseAddress(true);
@@ -65,7 +78,7 @@
 
     private String entry(String state) {
         return "{\"service\":\"" + service + "\",\"address\":\"" + host.getHostAddress() + ":" + port + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":"
-            + slots + ",\"state\":\"" + state + "\",\"cold-remaining-ms\":0,\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
+            + slots + ",\"state\":\"" + state + "\",\"cold-remaining-ms\":" + coldMillis + ",\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
             + "\"sequence\":1,\"born\":" + born + "}";
     }
 
@@ -84,8 +97,8 @@
         });
         Deployment.daemon("restart", () -> {
             Thread.sleep(backAfterMillis);
-            start();
-            deployment.record.line("runner " + endedId + " is back as " + id);
+            deployment.record.line("runner " + endedId + " comes back, cold, under a new id");
+            startCold();
         });
     }
 
