Keep following the store whatever an entry holds

The restart loop caught Exception, so that the StackOverflowError ended the task that follows the store. Readiness never asked whether it was still followed.

--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
@@ -112,7 +112,10 @@
                 metrics = telemetry::scrape,
             )
             daemon.peers.open(peerAddress)
-            platform.start()
+            daemon.tasks.start("peers") { daemon.peers.keepOpen(peerAddress, it) }
+            platform.start(daemon.tasks)
+            daemon.tasks.start("settings") { file.follow(telemetry, it) }
+            daemon.tasks.start("status", isRequired = false) { logStatus(telemetry) { daemon.statistics + platform.statistics } }
         }
     } catch (unavailable: IOException) {
         // Without the halt, the event loop's thread would keep a process running that answers only with 503.
@@ -120,8 +123,6 @@
         Runtime.getRuntime().halt(EXIT_START)
     }
     telemetry.event("started", Field("after_ms", System.currentTimeMillis() - ManagementFactory.getRuntimeMXBean().startTime))
-    loop.scope.launch { file.follow(telemetry) }
-    loop.scope.launch { logStatus(telemetry) { daemon.statistics + platform.statistics } }
     handleSignals(loop, file, daemon, platform, telemetry)
 }
 
--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/SettingsFile.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/SettingsFile.kt
@@ -34,11 +34,15 @@
         }
     }
 
-    /** Reloads the file when it changes, until the coroutine is cancelled. */
-    suspend fun follow(telemetry: Telemetry) {
+    /** Reloads the file when it changes, until the coroutine is cancelled; calls [onProgress] after each look at it. */
+    suspend fun follow(
+        telemetry: Telemetry,
+        onProgress: () -> Unit,
+    ) {
         while (true) {
             delay(POLL_INTERVAL_MILLIS)
             reload(telemetry)
+            onProgress()
         }
     }
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -53,6 +53,8 @@
     private val telemetry: Telemetry,
     random: Random,
 ) {
+    /** The tasks without which this daemon doesn't report that it is ready. */
+    val tasks = BackgroundTasks(loop, telemetry)
     private val workTracker = WorkTracker()
 
     private val health = TargetHealth()
@@ -96,7 +98,7 @@
                 Field("peer_received", peers.receivedMessages),
             )
 
-    private val isReady: Boolean get() = !callerServer.isDraining && fleet.isReady
+    private val isReady: Boolean get() = !callerServer.isDraining && fleet.isReady && tasks.areHealthy
 
     /**
      * Listens for callers, readiness checks and scrapes of [metrics]; returns the bound addresses.
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
@@ -12,6 +12,7 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
+import kotlinx.coroutines.delay
 import kotlinx.serialization.encodeToByteArray
 import kotlinx.serialization.protobuf.ProtoBuf
 import yuccaferry.daemon.port.Telemetry
@@ -47,8 +48,8 @@
     private var channel: Channel? = null
     private var scopes = PeerScopes.NONE
     private var timing = PeerTiming.COMPLETE
-    private val nearSends = SendSchedule(loop, ::sendNear)
-    private val farSends = SendSchedule(loop, ::sendFar)
+    private val nearSends = SendSchedule(loop, telemetry, ::sendNear)
+    private val farSends = SendSchedule(loop, telemetry, ::sendFar)
 
     /** Number of messages sent, one for each receiver. */
     var sentMessages = 0L
@@ -71,6 +72,18 @@
         workTracker.onChange = ::scheduleSends
     }
 
+    /** Opens the socket at [address] again whenever it was closed; calls [onProgress] while it is open. */
+    suspend fun keepOpen(
+        address: InetSocketAddress,
+        onProgress: () -> Unit,
+    ) {
+        while (true) {
+            if (channel?.isOpen != true) open(address)
+            onProgress()
+            delay(CHECK_MILLIS)
+        }
+    }
+
     /** Replaces the live daemons, to which the work is sent. */
     fun setMembers(members: Collection<Member>) {
         scopes = PeerScopes.of(name, zone, members)
@@ -101,18 +114,18 @@
     }
 
     private fun sendNear() {
-        send(scopes.near, workTracker.ownWork(loop.now()), timing.nearRepeatMillis)
         if (workTracker.ownCount > 0 || hasRecentCrash()) nearSends.within(timing.nearRepeatMillis)
+        send(scopes.near, workTracker.ownWork(loop.now()), timing.nearRepeatMillis)
     }
 
     private fun sendFar() {
         val work = workTracker.ownLongWork(loop.now())
-        send(scopes.far, work, timing.farRepeatMillis)
         if (hasRecentCrash()) {
             farSends.within(CRASH_REPEAT_MILLIS)
         } else if (work.isNotEmpty()) {
             farSends.within(timing.farRepeatMillis)
         }
+        send(scopes.far, work, timing.farRepeatMillis)
     }
 
     private fun hasRecentCrash() = quarantine.report(loop.now()).crashes.isNotEmpty()
@@ -167,6 +180,9 @@
         /** Milliseconds after which recent crashes are reported again to peers that are otherwise told about long prompts only. */
         const val CRASH_REPEAT_MILLIS = 300L
 
+        /** Milliseconds between checks whether the socket is open. */
+        const val CHECK_MILLIS = 1_000L
+
         /** Repeats after whose loss a peer's work is no longer counted. */
         const val MISSED_REPEATS = 3
     }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/SendSchedule.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/SendSchedule.kt
@@ -4,12 +4,16 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.Severity
+import yuccaferry.daemon.port.Telemetry
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.model.MonotonicTime
 
 /** Runs [action] on [loop]; a request for an earlier time replaces one for a later time. */
 internal class SendSchedule(
     private val loop: EventLoop,
+    private val telemetry: Telemetry,
     private val action: () -> Unit,
 ) {
     private var pending: Job? = null
@@ -25,7 +29,15 @@
             loop.scope.launch {
                 delay(millis)
                 pending = null
-                action()
+                run()
             }
     }
+
+    private fun run() {
+        try {
+            action()
+        } catch (failure: Throwable) {
+            telemetry.event("peer_send_failed", Field("error", failure), severity = Severity.ERROR)
+        }
+    }
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/Gateway.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/Gateway.kt
@@ -37,20 +37,22 @@
         reply: HttpResponseWriter,
     ) {
         val arrival = loop.now()
-        val head = format.readRequest(request)
+        var head: RequestHead? = null
         var outcome = "caller_left"
         try {
+            head = format.readRequest(request)
             outcome = answer(request, head, reply)
         } catch (cancelled: CancellationException) {
             throw cancelled
-        } catch (unexpected: Exception) {
+        } catch (unexpected: Throwable) {
+            // An Error ends this request only, like any other defect.
             outcome = "defect"
             val where = unexpected.stackTrace.firstOrNull()
-            telemetry.event("defect", Field("request", head.id), Field("error", unexpected), Field("at", where), severity = Severity.ERROR)
-            if (!reply.isStarted) format.refuse(reply, head.id, STATUS_BAD_GATEWAY)
+            telemetry.event("defect", Field("request", head?.id), Field("error", unexpected), Field("at", where), severity = Severity.ERROR)
+            if (!reply.isStarted) format.refuse(reply, head?.id, STATUS_BAD_GATEWAY)
         } finally {
             val millis = loop.now() - arrival
-            telemetry.event("request_ended", Field("request", head.id), Field("outcome", outcome), Field("ms", millis))
+            telemetry.event("request_ended", Field("request", head?.id), Field("outcome", outcome), Field("ms", millis))
             telemetry.time("yuccaferry_request_duration", millis, Field("outcome", outcome.substringBefore(':')))
         }
     }
