Refuse requests that a leaving gateway can't answer before its end

Cause: a connection is told to close in the head of an answer. One whose head went out before SIGTERM stays open, and the next request on it was accepted whatever its time limit.

GatewayDepartureTest on the landed code: a stream and a booking sent while the first answer ends are passed on (502 and 200 where 503 is expected).

Change: from 2.5 s after SIGTERM a request is accepted only if its time limit ends before connections are closed; others get 503 with Connection: close. A second SIGTERM doesn't move the end.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -6,6 +6,7 @@
 import yuccaferry.daemon.port.Telemetry
 import yuccaferry.decisions.dispatch.PeerReports
 import yuccaferry.decisions.dispatch.TargetHealth
+import yuccaferry.decisions.forward.Departure
 import yuccaferry.decisions.quarantine.PromptQuarantine
 import yuccaferry.decisions.routing.CallerLimits
 import yuccaferry.gateway.net.EventLoop
@@ -31,6 +32,7 @@
 import yuccaferry.gateway.request.TargetSelector
 import yuccaferry.gateway.view.FleetView
 import yuccaferry.model.DaemonName
+import yuccaferry.model.MonotonicTime
 import yuccaferry.model.ZoneName
 import java.net.InetSocketAddress
 import kotlin.random.Random
@@ -121,14 +123,14 @@
 
     /**
      * Shuts down gracefully: reports that the daemon isn't ready, answers requests that still arrive, and returns when all connections are
-     * closed and all reserved memory is released, or the grace time is nearly over.
+     * closed and all reserved memory is released, or the grace time is nearly over. Requests that may not be answered by then are refused
+     * once callers can know that the daemon leaves. Further calls wait for the end of the first.
      */
     suspend fun leave() {
         val start = loop.now()
-        val end = start + ((limits().graceSeconds * MILLIS_PER_SECOND).toLong() - EXIT_MARGIN_MILLIS)
-        telemetry.event("leaving", Field("busy", callerServer.busyConnections), Field("open", callerServer.openConnections))
-        callerServer.drain()
-        delay(READINESS_PROPAGATION_MILLIS)
+        val departure = gateway.departure ?: depart(start)
+        val end = departure.end
+        delay(minOf(READINESS_PROPAGATION_MILLIS, maxOf(0, end - start)))
         while (loop.now() < end) {
             callerServer.closeIdle()
             if (callerServer.openConnections == 0 && reservations.isEmpty) break
@@ -138,6 +140,15 @@
         telemetry.event("left", Field("cut", callerServer.busyConnections), Field("ms", loop.now() - start))
     }
 
+    private fun depart(start: MonotonicTime): Departure {
+        telemetry.event("leaving", Field("busy", callerServer.busyConnections), Field("open", callerServer.openConnections))
+        callerServer.drain()
+        val graceMillis = (limits().graceSeconds * MILLIS_PER_SECOND).toLong()
+        val departure = Departure(start + READINESS_PROPAGATION_MILLIS, start + (graceMillis - EXIT_MARGIN_MILLIS))
+        gateway.departure = departure
+        return departure
+    }
+
     private fun readyStatus(): Int = if (isReady) STATUS_OK else STATUS_UNAVAILABLE
 
     private fun callerLimits(): CallerLimits = fleet.configuration?.limits ?: INITIAL_LIMITS
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/Gateway.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/Gateway.kt
@@ -6,6 +6,7 @@
 import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.Severity
 import yuccaferry.daemon.port.Telemetry
+import yuccaferry.decisions.forward.Departure
 import yuccaferry.decisions.routing.Account
 import yuccaferry.decisions.routing.RequestKind
 import yuccaferry.decisions.routing.Route
@@ -32,6 +33,9 @@
 ) : RequestHandler {
     private var startupWaitEnd: MonotonicTime? = null
 
+    /** How this daemon leaves; null while it stays. */
+    var departure: Departure? = null
+
     override suspend fun handle(
         request: IncomingRequest,
         reply: HttpResponseWriter,
@@ -112,8 +116,13 @@
             return "no_service"
         }
         val now = loop.now()
-        val timeoutMillis = minOf(head.remainingMillis ?: route.timeoutMillis, route.timeoutMillis)
-        val admitted = AdmittedRequest(request, head, route, service, account, configuration.version, now, now + timeoutMillis)
+        val deadline = now + minOf(head.remainingMillis ?: route.timeoutMillis, route.timeoutMillis)
+        if (departure?.accepts(now, deadline) == false) {
+            // Without Retry-After, because any other daemon can serve the request at once.
+            format.refuse(reply, head.id, STATUS_UNAVAILABLE)
+            return "leaving"
+        }
+        val admitted = AdmittedRequest(request, head, route, service, account, configuration.version, now, deadline)
         return when (route.kind) {
             RequestKind.Safe, RequestKind.Unsafe -> calls.forward(admitted, reply)
             is RequestKind.Stream -> streams.forward(admitted, route.kind as RequestKind.Stream, reply)
