Read and report every shared part of a prompt

Cause: only the last 16 shared parts were read, and ids over 64 characters dropped. Besides, reports over 2,048 bytes were lost, since datagrams were received into Netty's default buffer, so that each gateway had to see all crashes itself.

Lists of answered and quarantined parts are no longer cut to 16.

--- a/decisions/src/main/kotlin/yuccaferry/decisions/quarantine/PromptQuarantine.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/quarantine/PromptQuarantine.kt
@@ -14,6 +14,12 @@
     private val answeredAt = LinkedHashMap<PromptPart, MonotonicTime>()
     private val quarantined = LinkedHashMap<PromptPart, Entry>()
 
+    /** Time of the last crash of a prompt with a part. */
+    private val suspectedAt = HashMap<PromptPart, MonotonicTime>()
+
+    /** Time from which on a part may have to be quarantined; null while nothing has happened that would lead to it. */
+    private var blameDue: MonotonicTime? = null
+
     /** Parts taken over from peers since the last update. */
     private val adopted = mutableListOf<QuarantineChange>()
 
@@ -57,11 +63,15 @@
             if (isSound || now - entry.lastUse >= MEMORY_MILLIS) changes += QuarantineChange.Ended(part, isSound)
             isSound || now - entry.lastUse >= MEMORY_MILLIS
         }
+        if (changes.any { it is QuarantineChange.Ended }) blameDue = now
+        if (blameDue?.let { it <= now } != true) return changes
         while (true) {
-            val blamed = blame(now) ?: return changes
+            val blamed = blame(now) ?: break
             quarantine(blamed.part, Entry(since = now, lastUse = now))
             changes += QuarantineChange.Began(blamed.part, blamed.crashes)
         }
+        blameDue = crashes.values.filter { now - it.at < SETTLE_MILLIS }.minOfOrNull { it.at + SETTLE_MILLIS }
+        return changes
     }
 
     /** Returns the quarantined part among [parts], if any; a part stays in quarantine while prompts with it arrive. */
@@ -76,8 +86,8 @@
     /** Returns what peers are to be told. */
     fun report(now: MonotonicTime): QuarantineReport {
         val recent = crashes.values.filter { now - it.at < REPORT_MILLIS }
-        val own = recent.filter { it.ownAt != null }.flatMap { crash -> crash.prompts.map { PromptCrash(crash.run, it) } }
-        val suspected = recent.flatMap { crash -> crash.prompts.flatten() }.toSet() + quarantined.keys
+        val own = recent.filter { it.ownAt != null }.map { it.toReport() }.filter { it.parts.isNotEmpty() }
+        val suspected = recent.flatMap { it.depths.keys }.toSet() + quarantined.keys
         val answered = suspected.mapNotNull { part -> answeredAt[part]?.let { PartAge(part, now - it) } }
         return QuarantineReport(
             crashes = own.takeLast(QuarantineReport.MAX_CRASHES),
@@ -86,6 +96,15 @@
         )
     }
 
+    /** Whether this daemon saw a crash that is still reported to peers. */
+    fun sawCrashRecently(now: MonotonicTime): Boolean = crashes.values.any { it.ownAt != null && now - it.at < REPORT_MILLIS }
+
+    /** Returns the crash with those of its parts that may have caused it. */
+    private fun Crash.toReport(): PromptCrash {
+        val blamable = depths.filterKeys { isBlamable(it, this) }
+        return PromptCrash(run, blamable.keys.toList(), blamable.values.toList())
+    }
+
     /** Adds a peer's [report]. */
     fun receive(
         report: QuarantineReport,
@@ -107,7 +126,9 @@
         entry: Entry,
     ) {
         quarantined[part] = entry
-        if (quarantined.size > MAX_QUARANTINED) quarantined.remove(quarantined.keys.first())
+        if (quarantined.size <= MAX_QUARANTINED) return
+        quarantined.remove(quarantined.keys.first())
+        blameDue = entry.lastUse
     }
 
     private fun add(
@@ -118,14 +139,25 @@
         if (reported.parts.isEmpty()) return
         val crash = crashes.getOrPut(reported.run) { Crash(reported.run, now) }
         if (ownAt != null) crash.ownAt = ownAt
-        if (crash.prompts.size < MAX_PROMPTS) crash.prompts += reported.parts
-        if (crashes.size > MAX_CRASHES) crashes.remove(crashes.keys.first())
+        for ((part, depth) in reported.parts.zip(reported.depths)) {
+            crash.depths.merge(part, depth, ::maxOf)
+            suspectedAt[part] = crash.at
+        }
+        blameDue = listOfNotNull(blameDue, crash.at + SETTLE_MILLIS).min()
+        forgetOldest(now)
+    }
+
+    private fun forgetOldest(now: MonotonicTime) {
+        while (crashes.size > MAX_CRASHES || (crashes.size > 1 && crashes.values.sumOf { it.depths.size } > MAX_CRASH_PARTS)) {
+            crashes.remove(crashes.keys.first())
+        }
+        if (suspectedAt.size > MAX_CRASH_PARTS) suspectedAt.values.removeIf { now - it >= REPORT_MILLIS }
     }
 
     private fun isSuspected(
         part: PromptPart,
         now: MonotonicTime,
-    ): Boolean = part in quarantined || crashes.values.any { now - it.at < REPORT_MILLIS && it.prompts.any { parts -> part in parts } }
+    ): Boolean = part in quarantined || suspectedAt[part]?.let { now - it < REPORT_MILLIS } == true
 
     /** Returns the part to be quarantined next, null if there is none. */
     private fun blame(now: MonotonicTime): Blame? {
@@ -134,12 +166,10 @@
         val times = HashMap<PromptPart, MutableList<MonotonicTime>>()
         val depths = HashMap<PromptPart, Int>()
         for (crash in settled) {
-            crash.prompts
-                .flatten()
-                .toSet()
-                .filter { isBlamable(it, crash) }
-                .forEach { times.getOrPut(it) { mutableListOf() } += crash.at }
-            crash.prompts.forEach { parts -> parts.forEachIndexed { depth, part -> depths.merge(part, depth, ::maxOf) } }
+            for ((part, depth) in crash.depths) {
+                if (isBlamable(part, crash)) times.getOrPut(part) { mutableListOf() } += crash.at
+                depths.merge(part, depth, ::maxOf)
+            }
         }
         return times
             .map { (part, crashTimes) -> Blame(part, momentsIn(crashTimes)) }
@@ -159,7 +189,7 @@
         return count
     }
 
-    private fun isExplained(crash: Crash): Boolean = crash.prompts.any { parts -> parts.any { it in quarantined } }
+    private fun isExplained(crash: Crash): Boolean = quarantined.keys.any { it in crash.depths }
 
     private fun isBlamable(
         part: PromptPart,
@@ -171,12 +201,15 @@
         now: MonotonicTime,
     ): Int = if (answeredAt[part]?.let { now - it < MEMORY_MILLIS } == true) MIN_CRASHES_OF_ANSWERED_PART else MIN_CRASHES
 
-    /** One crash and the prompts that were about to be answered then; [ownAt] is null if only peers saw it. */
+    /**
+     * One crash, and the parts of the prompts that were about to be answered then with their greatest depths; [ownAt] is null if only peers
+     * saw it.
+     */
     private class Crash(
         val run: CrashedRun,
         val at: MonotonicTime,
         var ownAt: MonotonicTime? = null,
-        val prompts: MutableSet<List<PromptPart>> = LinkedHashSet(),
+        val depths: MutableMap<PromptPart, Int> = LinkedHashMap(),
     )
 
     private class Entry(
@@ -212,8 +245,8 @@
         private const val MEMORY_MILLIS = 1_800_000L
 
         private const val MAX_CRASHES = 128
-        private const val MAX_PROMPTS = 16
+        private const val MAX_CRASH_PARTS = 32_768
         private const val MAX_QUARANTINED = 64
-        private const val MAX_ANSWERED_PARTS = 4_096
+        private const val MAX_ANSWERED_PARTS = 16_384
     }
 }
--- a/decisions/src/main/kotlin/yuccaferry/decisions/quarantine/QuarantineReport.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/quarantine/QuarantineReport.kt
@@ -11,11 +11,20 @@
     val run: Incarnation,
 )
 
-/** A crash while a prompt with [parts] was about to be answered; the last part of the prompt, which is its own, is not among them. */
+/**
+ * A crash while a prompt with [parts] was about to be answered; the last part of the prompt, which is its own, is not among them.
+ *
+ * @property depths position of each part in its prompt.
+ */
 data class PromptCrash(
     val run: CrashedRun,
     val parts: List<PromptPart>,
-)
+    val depths: List<Int> = parts.indices.toList(),
+) {
+    /** Returns crashes of the same run with [maxParts] of the parts at most, and all of them together. */
+    internal fun split(maxParts: Int): List<PromptCrash> =
+        parts.indices.chunked(maxParts).map { PromptCrash(run, parts.slice(it), depths.slice(it)) }
+}
 
 /** A [part] and the time in [millis] since what is reported of it. */
 data class PartAge(
@@ -38,10 +47,38 @@
     /** Whether there is nothing to report. */
     val isEmpty: Boolean get() = crashes.isEmpty() && answered.isEmpty() && quarantined.isEmpty()
 
+    /** Returns reports with [maxParts] parts at most, and all of this one together. */
+    fun split(maxParts: Int): List<QuarantineReport> {
+        val reports = mutableListOf<QuarantineReport>()
+        var last = EMPTY
+        var count = 0
+
+        fun add(
+            parts: Int,
+            extend: (QuarantineReport) -> QuarantineReport,
+        ) {
+            if (count + parts > maxParts) {
+                reports += last
+                last = EMPTY
+                count = 0
+            }
+            last = extend(last)
+            count += parts
+        }
+        crashes.flatMap { it.split(maxParts) }.forEach { crash -> add(crash.parts.size) { it.copy(crashes = it.crashes + crash) } }
+        answered.forEach { part -> add(1) { it.copy(answered = it.answered + part) } }
+        quarantined.forEach { part -> add(1) { it.copy(quarantined = it.quarantined + part) } }
+        return if (last.isEmpty) reports else reports + last
+    }
+
     companion object {
-        /** Most crashes in a report, and most parts in each of its lists, so that it fits into a datagram. */
+        /** Most crashes in a report. */
         const val MAX_CRASHES = 8
-        const val MAX_PARTS = 16
+
+        /** Most parts in a report's lists of parts: more than the head of a request can hold. */
+        const val MAX_PARTS = 2_048
+
+        private val EMPTY = QuarantineReport(emptyList(), emptyList(), emptyList())
     }
 }
 
--- a/decisions/src/test/kotlin/yuccaferry/decisions/quarantine/PromptQuarantineTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/quarantine/PromptQuarantineTest.kt
@@ -229,6 +229,19 @@
         }
     }
 
+    /** Guards against a chain of crashes by a part at the front of a long conversation, which was not looked at. */
+    @Test
+    fun `the first of many parts is quarantined like any other`() {
+        val rest = (2..1_000).joinToString(" ") { "p$it" }
+        for (target in 1..3) {
+            quarantine.crash("i-$target", "dead $rest")
+            advance(1)
+            quarantine.answer("sound $rest")
+        }
+        assertEquals("dead", quarantine.found("dead $rest"))
+        assertNull(quarantine.found("sound $rest"))
+    }
+
     @Nested
     inner class `a report` {
         @Test
@@ -237,6 +250,29 @@
             assertTrue(quarantine.report(now).isEmpty)
         }
 
+        /** Guards against reports of long prompts that were cut off, so that peers never learned of the part that crashes targets. */
+        @Test
+        fun `names every part of a long prompt in pieces of limited length`() {
+            val prompt = (1..500).joinToString(" ") { "p$it" }
+            quarantine.answer(prompt)
+            advance(1)
+            quarantine.crash("i-1", prompt)
+            val report = quarantine.report(now)
+            val pieces = report.split(maxParts = 64)
+            assertTrue(pieces.all { piece -> piece.crashes.sumOf { it.parts.size } + piece.answered.size + piece.quarantined.size <= 64 })
+            assertEquals(parts(prompt), pieces.flatMap { it.crashes }.flatMap { it.parts })
+            assertEquals((0..499).toList(), pieces.flatMap { it.crashes }.flatMap { it.depths })
+            assertEquals(report.answered, pieces.flatMap { it.answered })
+        }
+
+        @Test
+        fun `leaves out the parts that were in an answer after the crash`() {
+            quarantine.crash("i-1", "sound dead")
+            advance(1)
+            quarantine.answer("sound")
+            assertEquals(listOf(PromptCrash(run("i-1"), parts("dead"), depths = listOf(1))), quarantine.report(now).crashes)
+        }
+
         @Test
         fun `is bounded`() {
             (1..100).forEach { quarantine.crash("i-$it", "a$it b$it c$it") }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
@@ -9,6 +9,8 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
+import io.netty.channel.FixedRecvByteBufAllocator
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
@@ -65,6 +67,7 @@
             Bootstrap()
                 .group(loop.group)
                 .channel(NioDatagramChannel::class.java)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
                 .handler(Receiver())
                 .bind(address)
         future.awaitFailure()?.let { throw it }
@@ -128,7 +131,7 @@
         send(scopes.far, work, timing.farRepeatMillis)
     }
 
-    private fun hasRecentCrash() = quarantine.report(loop.now()).crashes.isNotEmpty()
+    private fun hasRecentCrash() = quarantine.sawCrashRecently(loop.now())
 
     private fun send(
         receivers: List<Member>,
@@ -138,17 +141,28 @@
         val open = channel ?: return
         if (receivers.isEmpty()) return
         val penalties = health.reportable(loop.now()).map { ReportedPenalty(it.target.value, it.run.value, it.millis.toInt()) }
-        val report = quarantine.report(loop.now()).takeUnless { it.isEmpty }?.let { QuarantineMessage.of(it) }
-        val message = WorkMessage(name.value, start, ++sequence, work, repeatMillis * MISSED_REPEATS, penalties, report)
+        val reports = quarantine.report(loop.now()).split(QuarantineMessage.MAX_PARTS).map { QuarantineMessage.of(it) }
+        val told = work.sortedByDescending { it.active }.take(WorkMessage.MAX_TARGETS)
+        val message = WorkMessage(name.value, start, ++sequence, told, repeatMillis * MISSED_REPEATS, penalties, reports.firstOrNull())
+        val additions = reports.drop(1).map { WorkMessage(name.value, start, ++sequence, quarantine = it, isAddition = true) }
+        (listOf(message) + additions).forEach { send(open, receivers, it) }
+        open.flush()
+    }
+
+    private fun send(
+        open: Channel,
+        receivers: List<Member>,
+        message: WorkMessage,
+    ) {
         val bytes = ProtoBuf.encodeToByteArray(message)
+        if (bytes.size > MAX_DATAGRAM_BYTES) telemetry.count("yuccaferry_peer_messages_too_long_total")
         receivers.forEach { open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it.peerAddress)) }
-        open.flush()
         sentMessages += receivers.size
     }
 
     private fun receive(message: WorkMessage) {
         val now = loop.now()
-        workTracker.receive(message, now)
+        if (!message.isAddition) workTracker.receive(message, now)
         val penalties = message.penalties.map { TargetPenalty(TargetId(it.target), Incarnation(it.run), it.millis.toDouble()) }
         reports.receive(DaemonName(message.daemon), penalties, now)
         message.quarantine?.let { quarantine.receive(it.toReport(), now) }
@@ -173,18 +187,21 @@
         }
     }
 
-    private companion object {
+    internal companion object {
         /** Milliseconds for which the start and end of long prompts are batched. */
-        const val LONG_BATCH_MILLIS = 1L
+        private const val LONG_BATCH_MILLIS = 1L
 
         /** Milliseconds after which recent crashes are reported again to peers that are otherwise told about long prompts only. */
-        const val CRASH_REPEAT_MILLIS = 300L
+        private const val CRASH_REPEAT_MILLIS = 300L
+
+        /** Longest message that is received whole. The parts of a report are limited, and the targets, so that messages are shorter. */
+        const val MAX_DATAGRAM_BYTES = 8_192
 
         /** Milliseconds between checks whether the socket is open. */
-        const val CHECK_MILLIS = 1_000L
+        private const val CHECK_MILLIS = 1_000L
 
         /** Repeats after whose loss a peer's work is no longer counted. */
-        const val MISSED_REPEATS = 3
+        private const val MISSED_REPEATS = 3
     }
 }
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/QuarantineMessage.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/QuarantineMessage.kt
@@ -3,6 +3,7 @@
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.protobuf.ProtoNumber
+import kotlinx.serialization.protobuf.ProtoPacked
 import yuccaferry.decisions.quarantine.CrashedRun
 import yuccaferry.decisions.quarantine.PartAge
 import yuccaferry.decisions.quarantine.PromptCrash
@@ -23,35 +24,41 @@
 
     fun toReport() =
         QuarantineReport(
-            crashes = crashes.map { PromptCrash(CrashedRun(TargetId(it.target), Incarnation(it.run)), it.parts.map(::PromptPart)) },
+            crashes = crashes.map { it.toCrash() },
             answered = answered.map { PartAge(PromptPart(it.part), it.millis) },
             quarantined = quarantined.map { PartAge(PromptPart(it.part), it.millis) },
         )
 
     companion object {
-        /** Most parts of a prompt, and longest id of a part, that a message may name. */
-        const val MAX_CRASH_PARTS = 16
+        /** Most parts that a message names, so that it fits into a datagram, and longest id of a part. */
+        const val MAX_PARTS = 64
         const val MAX_CHARS = 64
 
         fun of(report: QuarantineReport) =
             QuarantineMessage(
-                crashes = report.crashes.map { CrashMessage(it.run.target.value, it.run.run.value, it.parts.map { part -> part.value }) },
+                crashes = report.crashes.map { CrashMessage.of(it) },
                 answered = report.answered.map { PartMessage(it.part.value, it.millis) },
                 quarantined = report.quarantined.map { PartMessage(it.part.value, it.millis) },
             )
     }
 }
 
-/** A crash of the run [run] of a target under a prompt with [parts]. */
+/** A crash of the run [run] of a target under prompts with [parts], which had the positions [depths] in them. */
 @Serializable
 internal class CrashMessage(
     @ProtoNumber(1) val target: String,
     @ProtoNumber(2) val run: String,
     @ProtoNumber(3) val parts: List<String> = emptyList(),
+    @ProtoNumber(4) @ProtoPacked val depths: List<Int> = emptyList(),
 ) {
-    val isPlausible: Boolean get() =
-        parts.size <= QuarantineMessage.MAX_CRASH_PARTS &&
-            parts.all { it.length <= QuarantineMessage.MAX_CHARS }
+    val isPlausible: Boolean
+        get() = parts.size == depths.size && parts.all { it.length <= QuarantineMessage.MAX_CHARS } && depths.all { it >= 0 }
+
+    fun toCrash() = PromptCrash(CrashedRun(TargetId(target), Incarnation(run)), parts.map(::PromptPart), depths)
+
+    companion object {
+        fun of(crash: PromptCrash) = CrashMessage(crash.run.target.value, crash.run.run.value, crash.parts.map { it.value }, crash.depths)
+    }
 }
 
 /** A part and the milliseconds since what is reported of it. */
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
@@ -14,6 +14,7 @@
  * @property sequence number that increases with each message of a run.
  * @property penalties penalties of targets that failed or were late.
  * @property quarantine what the sender knows of prompts that crash targets; null if it knows of none.
+ * @property isAddition whether the message only adds to what the sender reports of prompts, and leaves its work as it was.
  * @property validMillis time after which the work is no longer counted unless another message arrives.
  */
 @Serializable
@@ -21,11 +22,17 @@
     @ProtoNumber(1) val daemon: String,
     @ProtoNumber(2) val start: Long,
     @ProtoNumber(3) val sequence: Long,
-    @ProtoNumber(4) val targets: List<TargetWork>,
-    @ProtoNumber(5) val validMillis: Long,
+    @ProtoNumber(4) val targets: List<TargetWork> = emptyList(),
+    @ProtoNumber(5) val validMillis: Long = 0,
     @ProtoNumber(6) val penalties: List<ReportedPenalty> = emptyList(),
     @ProtoNumber(7) val quarantine: QuarantineMessage? = null,
-)
+    @ProtoNumber(8) val isAddition: Boolean = false,
+) {
+    companion object {
+        /** Most targets in a message, those with the most requests, so that it fits into a datagram. */
+        const val MAX_TARGETS = 200
+    }
+}
 
 /** Penalty in milliseconds of the run [run] of a target, as the sender sees it. */
 @Serializable
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/CrashDetector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/CrashDetector.kt
@@ -31,7 +31,7 @@
             Field(
                 "parts",
                 request.head.sharedParts
-                    .joinToString(",")
+                    .joinToString(",", limit = MAX_LOGGED_PARTS)
                     .ifEmpty { null },
             ),
         )
@@ -39,6 +39,9 @@
     }
 
     private companion object {
+        /** Parts of a prompt in a log line. */
+        const val MAX_LOGGED_PARTS = 64
+
         /** Milliseconds to establish a connection: many round trips between zones. */
         const val CONNECT_MILLIS = 150L
     }
--- a/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerBytesTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerBytesTest.kt
@@ -63,6 +63,20 @@
         assertEquals(report, decodeMessage(valid)?.quarantine?.toReport())
     }
 
+    @Test
+    fun `the pieces of a long report arrive as they were sent, each in one datagram`() {
+        val parts = (0..299).map { PromptPart("part-$it") }
+        val crash = PromptCrash(CrashedRun(TargetId("t"), Incarnation("1")), parts)
+        val pieces = QuarantineReport(listOf(crash), emptyList(), emptyList()).split(QuarantineMessage.MAX_PARTS)
+        val received =
+            pieces.map {
+                val bytes = ProtoBuf.encodeToByteArray(WorkMessage("d", 1, 1, quarantine = QuarantineMessage.of(it), isAddition = true))
+                assertTrue(bytes.size <= PeerLink.MAX_DATAGRAM_BYTES, "found ${bytes.size} bytes")
+                assertNotNull(decodeMessage(bytes)?.quarantine).toReport()
+            }
+        assertEquals(pieces, received)
+    }
+
     @Test
     fun `a message without a quarantine is accepted`() {
         val bytes = ProtoBuf.encodeToByteArray(WorkMessage("d", 1, 1, emptyList(), 1_500))
--- a/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerLinkTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerLinkTest.kt
@@ -6,13 +6,18 @@
 import yuccaferry.daemon.port.NoTelemetry
 import yuccaferry.decisions.dispatch.PeerReports
 import yuccaferry.decisions.dispatch.TargetHealth
+import yuccaferry.decisions.quarantine.CrashedRun
 import yuccaferry.decisions.quarantine.PartAge
+import yuccaferry.decisions.quarantine.PromptCrash
 import yuccaferry.decisions.quarantine.PromptQuarantine
 import yuccaferry.decisions.quarantine.QuarantineReport
+import yuccaferry.decisions.quarantine.promptPartOf
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.view.Member
 import yuccaferry.model.DaemonName
+import yuccaferry.model.Incarnation
 import yuccaferry.model.PromptPart
+import yuccaferry.model.TargetId
 import yuccaferry.model.ZoneName
 import java.net.DatagramSocket
 import java.net.InetAddress
@@ -61,9 +66,36 @@
         assertEquals(true, onLoop { started.findsDeadlyPart() })
     }
 
+    /** Guards against reports that were longer than the receiver's buffer and dropped, so that each daemon saw all crashes itself. */
+    @Test
+    fun `a daemon is told of a crash under a prompt with many parts`() {
+        val peer = Peer("a")
+        val other = Peer("b")
+        val prompt = listOf(deadly) + (1..300).map { promptPartOf("$it".repeat(64)) }
+        onLoop {
+            for (each in listOf(peer, other)) each.link.setMembers(listOf(peer.member, other.member))
+            repeat(PromptQuarantine.MIN_CRASHES) {
+                peer.quarantine.recordCrash(PromptCrash(CrashedRun(TargetId("t$it"), Incarnation("1")), prompt), loop.now())
+                peer.link.reportQuarantine()
+                delay(CRASH_INTERVAL_MILLIS)
+            }
+            for (each in listOf(peer, other)) each.quarantine.recordAnswer(prompt - deadly, loop.now())
+            withTimeoutOrNull(WAIT_MILLIS) {
+                while (!other.findsDeadlyPart()) {
+                    delay(POLL_MILLIS)
+                    other.quarantine.update(loop.now())
+                }
+            }
+        }
+        assertEquals(true, onLoop { other.findsDeadlyPart() })
+    }
+
     private companion object {
         /** Milliseconds to wait for datagrams on loopback, on a busy machine. */
         const val WAIT_MILLIS = 5_000L
         const val POLL_MILLIS = 5L
+
+        /** Milliseconds between crashes: several of the moments that are told apart. */
+        const val CRASH_INTERVAL_MILLIS = 5 * PromptQuarantine.MOMENT_MILLIS
     }
 }
