--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/GatewaySettings.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/GatewaySettings.kt
@@ -70,6 +70,19 @@
                 require(millis > 0) { "settings $path: timing.$field: expected more than 0, found $millis" }
             }
             require(settings.internalPorts.isNotEmpty()) { "settings $path: internalPorts: expected the first and last port, found none" }
+            for (port in settings.internalPorts) {
+                requireNotNull(parseAddress("${settings.host}:$port")) {
+                    "settings $path: host and internalPorts: expected an IPv4 address and ports from 1 to 65535, found ${settings.host}:$port"
+                }
+            }
+            mapOf(
+                "coldBurstFactor" to settings.limits.coldBurstFactor,
+                "coldTolerance" to settings.limits.coldTolerance,
+                "repeatRatio" to settings.limits.repeatRatio,
+                "repeatReserve" to settings.limits.repeatReserve,
+                "repeatWindowSeconds" to settings.limits.repeatWindowSeconds,
+                "graceSeconds" to settings.limits.graceSeconds,
+            ).forEach { (field, value) -> require(value >= 0) { "settings $path: limits.$field: expected 0 or more, found $value" } }
             return settings
         }
 
--- a/gateway-app/src/test/kotlin/yuccaferry/gateway/app/SettingsFileTest.kt
+++ b/gateway-app/src/test/kotlin/yuccaferry/gateway/app/SettingsFileTest.kt
@@ -37,6 +37,20 @@
         fun `an invalid address`() =
             assertContains(messageOf(validSettings.replace("127.0.0.1:4", "store:4")), "store: expected a.b.c.d:port, found store:4")
 
+        @Test
+        fun `a port out of range`() =
+            assertContains(
+                messageOf(validSettings.replace("7355", "65536")),
+                "internalPorts: expected an IPv4 address and ports from 1 to 65535",
+            )
+
+        @Test
+        fun `a negative limit`() =
+            assertContains(
+                messageOf(validSettings.replace("\"graceSeconds\":8", "\"graceSeconds\":-8")),
+                "limits.graceSeconds: expected 0 or more, found -8.0",
+            )
+
         @Test
         fun `an unsupported version`() =
             assertContains(messageOf(validSettings.replace(":1,\"name", ":2,\"name")), "settingsVersion: expected 1, found 2")
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
@@ -68,11 +68,17 @@
             // The decoder throws SerializationException, but also IndexOutOfBoundsException where a length is wrong.
             return null
         }
-    return message.takeIf { it.targets.all { work -> work.isPlausible } && it.quarantine?.isPlausible != false }
+    return message.takeIf { it.isPlausible }
 }
 
+private val WorkMessage.isPlausible: Boolean
+    get() = targets.all { it.isPlausible } && penalties.all { it.millis >= 0 } && quarantine?.isPlausible != false
+
 private val TargetWork.isPlausible: Boolean
-    get() = active in 0..MAX_REQUESTS && longRequests in 0..active && readingMillis >= 0 && heldTokens >= 0
+    get() = active in 0..MAX_REQUESTS && longRequests in 0..active && readingMillis >= 0 && heldTokens in 0..MAX_TOKENS
 
 /** Most requests of one daemon at one target. */
 private const val MAX_REQUESTS = 100_000
+
+/** Most tokens of one daemon's requests at one target; sums over daemons don't overflow. */
+private const val MAX_TOKENS = 1_000_000_000_000L
--- a/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerBytesTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerBytesTest.kt
@@ -96,6 +96,19 @@
         }
     }
 
+    @Test
+    fun `a message with values that no daemon has is refused`() {
+        val messages =
+            listOf(
+                WorkMessage("d", 1, 1, listOf(TargetWork("t", 1, 0, Long.MAX_VALUE, 0)), 1),
+                WorkMessage("d", 1, 1, listOf(TargetWork("t", -1, 0, 0, 0)), 1),
+                WorkMessage("d", 1, 1, listOf(TargetWork("t", 1, -1, 0, 0)), 1),
+                WorkMessage("d", 1, 1, listOf(TargetWork("t", 1, 0, 0, 2)), 1),
+                WorkMessage("d", 1, 1, penalties = listOf(ReportedPenalty("t", "1", -1))),
+            )
+        for ((number, message) in messages.withIndex()) assertNull(decodeMessage(ProtoBuf.encodeToByteArray(message)), "message $number")
+    }
+
     @Test
     fun `totals stay finite whatever messages state`() {
         val tracker = WorkTracker()
