Give up the buffer of a body with its request, and limit all of them

Cause: each connection kept a buffer as large as its largest body. 22 of them fill the heap.

Change: bodies are collected in pieces and dropped with the request; all bodies share 32 MiB, and one that doesn't fit gets 503.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -9,6 +9,7 @@
 import yuccaferry.decisions.forward.Departure
 import yuccaferry.decisions.quarantine.PromptQuarantine
 import yuccaferry.decisions.routing.CallerLimits
+import yuccaferry.gateway.net.BufferBudget
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.Header
 import yuccaferry.gateway.net.HttpClientConnector
@@ -20,7 +21,6 @@
 import yuccaferry.gateway.port.RequestFormat
 import yuccaferry.gateway.request.AttemptLog
 import yuccaferry.gateway.request.AttemptTracker
-import yuccaferry.gateway.request.BufferBudget
 import yuccaferry.gateway.request.CallForwarder
 import yuccaferry.gateway.request.CrashDetector
 import yuccaferry.gateway.request.Gateway
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/BufferBudget.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/BufferBudget.kt
@@ -1,16 +1,16 @@
-// Limits the memory of all answers that are buffered before any of them is sent to its caller.
-package yuccaferry.gateway.request
+// Limits the memory of messages that are buffered whole before any of them is sent on.
+package yuccaferry.gateway.net
 
-/** Memory for buffered answers; confined to the event loop. */
+/** Memory for buffered messages of one kind; confined to the event loop. */
 internal class BufferBudget(
     private val maxBytes: Long = MAX_BYTES,
 ) {
     private var usedBytes = 0L
 
-    /** Returns the share of one request, which is given back when it is closed. */
+    /** Returns the share of one message, which is given back when it is closed. */
     fun share() = Share()
 
-    /** Memory that the answers to one request take. */
+    /** Memory that one message takes. */
     inner class Share : AutoCloseable {
         private var takenBytes = 0L
 
@@ -29,7 +29,7 @@
     }
 
     private companion object {
-        /** Bytes of all buffered answers: a fifth of the heap that the deploy file sets. */
+        /** Bytes of all buffered messages of one kind: a fifth of the heap that the deploy file sets. */
         const val MAX_BYTES = 32L * 1_024 * 1_024
     }
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpServer.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpServer.kt
@@ -47,6 +47,7 @@
 ) {
     private val listeners = mutableListOf<Channel>()
     private val connections = mutableSetOf<HttpServerConnection>()
+    private val bodies = BufferBudget()
 
     /** Whether each connection is closed after its next response. */
     var isDraining = false
@@ -88,7 +89,7 @@
     private inner class Pipeline : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             val current = limits()
-            val connection = HttpServerConnection(loop, channel, limits, { isDraining }, handler)
+            val connection = HttpServerConnection(loop, channel, limits, { isDraining }, bodies, handler)
             connections += connection
             channel.closeFuture().addListener { connections -= connection }
             channel.pipeline().addLast(StrictRequestDecoder(current.headerBytes))
--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpServerConnection.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpServerConnection.kt
@@ -18,7 +18,6 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import yuccaferry.decisions.routing.CallerLimits
-import java.io.ByteArrayOutputStream
 import java.util.concurrent.TimeUnit
 
 internal class HttpServerConnection(
@@ -26,10 +25,11 @@
     private val channel: Channel,
     private val limits: () -> CallerLimits,
     private val isDraining: () -> Boolean,
+    private val bodies: BufferBudget,
     private val handler: RequestHandler,
 ) : ChannelInboundHandlerAdapter() {
     private var head: HttpRequest? = null
-    private val body = ByteArrayOutputStream()
+    private var body: BodyBuffer? = null
     private val waiting = ArrayDeque<Pending>()
     private var running: Job? = null
     private var refused = false
@@ -68,7 +68,7 @@
 
     private fun begin(request: HttpRequest) {
         head = request
-        body.reset()
+        dropBody()
         val current = limits()
         when {
             HttpUtil.getContentLength(request, 0L) > current.bodyBytes -> {
@@ -87,18 +87,23 @@
     }
 
     private fun append(part: HttpContent) {
-        body.writeBytes(ByteBufUtil.getBytes(part.content()))
-        if (body.size() > limits().bodyBytes) {
+        val received = body ?: BodyBuffer(bodies.share()).also { body = it }
+        if (!received.add(ByteBufUtil.getBytes(part.content()))) {
+            // No part of the request has been handled, so that the caller may send it again, to any daemon.
+            refuse(STATUS_UNAVAILABLE)
+            return
+        }
+        if (received.size > limits().bodyBytes) {
             refuse(STATUS_BODY_TOO_LARGE)
             return
         }
         if (part !is LastHttpContent) return
         val request = checkNotNull(head)
         head = null
+        body = null
         timer?.cancel(false)
-        val whole = IncomingRequest(request.method().name(), request.uri(), request.headers(), body.toByteArray())
-        waiting.addLast(Pending(whole, HttpUtil.isKeepAlive(request)))
-        body.reset()
+        val whole = IncomingRequest(request.method().name(), request.uri(), request.headers(), received.take())
+        waiting.addLast(Pending(whole, HttpUtil.isKeepAlive(request), received))
         runNext()
     }
 
@@ -108,7 +113,12 @@
         val reply = HttpResponseWriter(channel, mayKeepOpen = next.keepAlive, isDraining = isDraining)
         val job = loop.scope.launch(start = CoroutineStart.LAZY) { handler.handle(next.request, reply) }
         running = job
-        job.invokeOnCompletion { loop.group.next().execute { ended(reply) } }
+        job.invokeOnCompletion {
+            loop.group.next().execute {
+                next.body.drop()
+                ended(reply)
+            }
+        }
         job.start()
     }
 
@@ -125,6 +135,7 @@
     private fun refuse(status: Int) {
         refused = true
         head = null
+        dropBody()
         timer?.cancel(false)
         val reply = HttpResponseWriter(channel, mayKeepOpen = false)
         reply.send(status, emptyList(), ByteArray(0))
@@ -134,10 +145,17 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         timer?.cancel(false)
+        dropBody()
+        waiting.forEach { it.body.drop() }
         waiting.clear()
         running?.cancel()
     }
 
+    private fun dropBody() {
+        body?.drop()
+        body = null
+    }
+
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         if (channel.isWritable) HttpResponseWriter.resumeWriter(channel)
         context.fireChannelWritabilityChanged()
@@ -162,6 +180,7 @@
     private class Pending(
         val request: IncomingRequest,
         val keepAlive: Boolean,
+        val body: BodyBuffer,
     )
 
     private companion object {
@@ -175,6 +194,7 @@
         const val STATUS_REQUEST_TIMEOUT = 408
         const val STATUS_BODY_TOO_LARGE = 413
         const val STATUS_HEAD_TOO_LARGE = 431
+        const val STATUS_UNAVAILABLE = 503
     }
 }
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/BufferedResponse.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/BufferedResponse.kt
@@ -1,6 +1,7 @@
 // Buffers a target's response before any of it is sent to the caller.
 package yuccaferry.gateway.request
 
+import yuccaferry.gateway.net.BufferBudget
 import yuccaferry.gateway.net.HttpClientConnection
 import yuccaferry.gateway.net.HttpResponsePart
 import yuccaferry.gateway.net.HttpResponseWriter
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
@@ -5,6 +5,7 @@
 import yuccaferry.decisions.forward.AttemptEnd
 import yuccaferry.decisions.forward.retryAfterMillis
 import yuccaferry.decisions.routing.isIdempotent
+import yuccaferry.gateway.net.BufferBudget
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.HttpClientConnection
 import yuccaferry.gateway.net.HttpClientConnector
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -11,6 +11,7 @@
 import yuccaferry.decisions.forward.retryAfterMillis
 import yuccaferry.decisions.routing.EngineFigures
 import yuccaferry.decisions.routing.RequestKind
+import yuccaferry.gateway.net.BufferBudget
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.HttpClientConnector
 import yuccaferry.gateway.net.HttpResponseWriter
