Answer 502 where a target's status would be a false promise

What callers saw: a booking ran, its target failed and answered 503 without stating that it had not run.

Cause: the status was passed on although the outcome of the attempt was known to be "may have run".

--- a/decisions/src/main/kotlin/yuccaferry/decisions/forward/FinalAnswer.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/forward/FinalAnswer.kt
@@ -37,6 +37,18 @@
         else -> FinalAnswer.Unknown
     }
 
+/**
+ * Returns whether a target's own failure with [status] may be passed on. To callers, some statuses promise that the request has not run;
+ * a target that answers with one and doesn't state that itself may have run it, and a caller may repeat it.
+ */
+fun mayPassOn(
+    status: Int,
+    idempotent: Boolean,
+): Boolean = idempotent || status !in NOT_RUN_STATUSES
+
+/** Statuses that promise callers that a request has not run and will not. */
+private val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
+
 /** Returns whether another target may be tried after the attempt [last]; always true for an [idempotent] request. */
 fun mayRetry(
     last: AttemptEnd,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
@@ -3,6 +3,7 @@
 
 import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.decisions.forward.AttemptEnd
+import yuccaferry.decisions.forward.mayPassOn
 import yuccaferry.decisions.forward.retryAfterMillis
 import yuccaferry.decisions.routing.isIdempotent
 import yuccaferry.gateway.net.BufferBudget
@@ -47,6 +48,7 @@
             val result = attempt(request, target, share)
             attempts.recordEnd(target, result.end)
             val answer = result.answer
+            if (answer != null && !mayPassOn(answer.status, request.route.kind.isIdempotent)) break
             if (answer != null && (answer.status < SERVER_ERROR || !request.route.kind.isIdempotent)) return answer.respond(format, reply)
             failure = answer ?: failure
             if (!attempts.canRetry(MAX_TARGETS)) break
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -4,7 +4,9 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.decisions.forward.AttemptEnd
 import yuccaferry.decisions.forward.firstEventTimeoutMillis
+import yuccaferry.decisions.forward.mayPassOn
 import yuccaferry.decisions.routing.EngineFigures
+import yuccaferry.decisions.routing.isIdempotent
 import yuccaferry.gateway.net.BufferBudget
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.HttpClientConnection
@@ -171,7 +173,7 @@
         val body =
             withTimeoutOrNull(request.deadline - loop.now()) { collectBody(connection, share) }
                 ?: return AttemptEnd.Broken("answer incomplete or too large")
-        progress.failure = BufferedResponse(head, body)
+        if (mayPassOn(head.status, request.route.kind.isIdempotent)) progress.failure = BufferedResponse(head, body)
         return AttemptEnd.Answered(head.status)
     }
 
