Reply to the first message of a daemon's run with the quarantine

Cause: peers tell a daemon about the quarantine once they have read its entry in the store.

Change: a daemon sends a message as soon as it knows its peers; who receives the first message of a run replies to its sender. Replies get none, which a test of its own holds.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
@@ -22,6 +22,7 @@
 import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.dispatch.TargetPenalty
 import yuccaferry.decisions.quarantine.PromptQuarantine
+import yuccaferry.decisions.quarantine.QuarantineReport
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.awaitFailure
 import yuccaferry.gateway.view.Member
@@ -50,6 +51,9 @@
     private var channel: Channel? = null
     private var scopes = PeerScopes.NONE
     private var timing = PeerTiming.COMPLETE
+
+    /** Whether the first message of this run has been sent. */
+    private var hasGreeted = false
     private val nearSends = SendSchedule(loop, telemetry, ::sendNear)
     private val farSends = SendSchedule(loop, telemetry, ::sendFar)
 
@@ -93,8 +97,10 @@
         timing = if (scopes.isComplete) PeerTiming.COMPLETE else PeerTiming.PARTIAL
         workTracker.isComplete = scopes.isComplete
         workTracker.knownShare = scopes.knownShare
-        // A daemon that has just started knows no quarantine; each is told by the few that report their work to it.
-        if (!quarantine.report(loop.now()).isEmpty) nearSends.within(LONG_BATCH_MILLIS)
+        // A daemon that has just started knows no quarantine, and is told of it in reply to its first message.
+        val isFirst = !hasGreeted && scopes.near.isNotEmpty()
+        if (isFirst || !quarantine.report(loop.now()).isEmpty) nearSends.within(LONG_BATCH_MILLIS)
+        hasGreeted = hasGreeted || isFirst
     }
 
     /** Tells all peers about the quarantine at once. */
@@ -141,27 +147,43 @@
         val open = channel ?: return
         if (receivers.isEmpty()) return
         val penalties = health.reportable(loop.now()).map { ReportedPenalty(it.target.value, it.run.value, it.millis.toInt()) }
-        val reports = quarantine.report(loop.now()).split(QuarantineMessage.MAX_PARTS).map { QuarantineMessage.of(it) }
+        val reports = quarantine.report(loop.now()).split(QuarantineMessage.MAX_PARTS)
+        val first = reports.firstOrNull()?.let { QuarantineMessage.of(it) }
         val told = work.sortedByDescending { it.active }.take(WorkMessage.MAX_TARGETS)
-        val message = WorkMessage(name.value, start, ++sequence, told, repeatMillis * MISSED_REPEATS, penalties, reports.firstOrNull())
-        val additions = reports.drop(1).map { WorkMessage(name.value, start, ++sequence, quarantine = it, isAddition = true) }
-        (listOf(message) + additions).forEach { send(open, receivers, it) }
+        val message = WorkMessage(name.value, start, ++sequence, told, repeatMillis * MISSED_REPEATS, penalties, first)
+        val addresses = receivers.map { it.peerAddress }
+        (listOf(message) + additions(reports.drop(1))).forEach { send(open, addresses, it) }
+        open.flush()
+    }
+
+    /** Tells the daemon at [address] of the quarantine, in advance of the listing in which this daemon finds it. */
+    private fun sendQuarantine(address: InetSocketAddress) {
+        val open = channel ?: return
+        additions(quarantine.report(loop.now()).split(QuarantineMessage.MAX_PARTS)).forEach { send(open, listOf(address), it) }
         open.flush()
     }
 
+    private fun additions(reports: List<QuarantineReport>) =
+        reports.map { WorkMessage(name.value, start, ++sequence, quarantine = QuarantineMessage.of(it), isAddition = true) }
+
     private fun send(
         open: Channel,
-        receivers: List<Member>,
+        receivers: List<InetSocketAddress>,
         message: WorkMessage,
     ) {
         val bytes = ProtoBuf.encodeToByteArray(message)
         if (bytes.size > MAX_DATAGRAM_BYTES) telemetry.count("yuccaferry_peer_messages_too_long_total")
-        receivers.forEach { open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it.peerAddress)) }
+        receivers.forEach { open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it)) }
         sentMessages += receivers.size
     }
 
-    private fun receive(message: WorkMessage) {
+    private fun receive(
+        message: WorkMessage,
+        sender: InetSocketAddress,
+    ) {
         val now = loop.now()
+        // Additions get no reply: two daemons that don't know each other's work would go on for ever.
+        if (!message.isAddition && !workTracker.knowsRunOf(message)) sendQuarantine(sender)
         if (!message.isAddition) workTracker.receive(message, now)
         val penalties = message.penalties.map { TargetPenalty(TargetId(it.target), Incarnation(it.run), it.millis.toDouble()) }
         reports.receive(DaemonName(message.daemon), penalties, now)
@@ -175,7 +197,7 @@
         ) {
             receivedMessages++
             val message = decodeMessage(ByteBufUtil.getBytes(packet.content()))
-            if (message != null) receive(message) else telemetry.count("yuccaferry_peer_messages_invalid_total")
+            if (message != null) receive(message, packet.sender()) else telemetry.count("yuccaferry_peer_messages_invalid_total")
         }
 
         @Deprecated("Netty's own signature")
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkTracker.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkTracker.kt
@@ -57,6 +57,9 @@
         onChange(if (work.isLong) WorkChange.LONG else WorkChange.SHORT)
     }
 
+    /** Whether the last work of a peer's current run is known, of which [message] is one. */
+    fun knowsRunOf(message: WorkMessage): Boolean = peers[message.daemon]?.let { message.start <= it.start } == true
+
     /** Replaces a peer's work by [message], received at [now]; ignores a message that is not newer than the last one. */
     fun receive(
         message: WorkMessage,
--- a/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerLinkTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerLinkTest.kt
@@ -25,6 +25,7 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 class PeerLinkTest {
     private val loop = EventLoop()
@@ -66,6 +67,20 @@
         assertEquals(true, onLoop { started.findsDeadlyPart() })
     }
 
+    /** Guards against replies that are replied to without end. */
+    @Test
+    fun `daemons that greet each other send a few messages only`() {
+        val peers = listOf(Peer("a"), Peer("b"))
+        onLoop {
+            val report = QuarantineReport(crashes = emptyList(), answered = emptyList(), quarantined = listOf(PartAge(deadly, 1_000)))
+            peers.forEach { it.quarantine.receive(report, loop.now()) }
+            peers.forEach { peer -> peer.link.setMembers(peers.map { it.member }) }
+            delay(CRASH_INTERVAL_MILLIS)
+        }
+        val sent = peers.sumOf { it.link.sentMessages }
+        assertTrue(sent in 2..8, "found $sent messages")
+    }
+
     /** Guards against reports that were longer than the receiver's buffer and dropped, so that each daemon saw all crashes itself. */
     @Test
     fun `a daemon is told of a crash under a prompt with many parts`() {
