--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/GatewaySettings.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/GatewaySettings.kt
@@ -72,7 +72,8 @@
             require(settings.internalPorts.isNotEmpty()) { "settings $path: internalPorts: expected the first and last port, found none" }
             for (port in settings.internalPorts) {
                 requireNotNull(parseAddress("${settings.host}:$port")) {
-                    "settings $path: host and internalPorts: expected an IPv4 address and ports from 1 to 65535, found ${settings.host}:$port"
+                    "settings $path: host and internalPorts: expected an IPv4 address and ports from 1 to 65535, " +
+                        "found ${settings.host}:$port"
                 }
             }
             mapOf(
