Count warnings and errors apart in the limit on log lines

What operators saw: in the record of an incident with thousands of request lines, few lines of warnings or errors, and no way to tell whether there were none. Cause: one token bucket for lines of all severities, which lines of requests empty. Evidence: DaemonTelemetryTest 'warnings and errors are still written' on: expected: <[100, 100]> but was: <[0, 0]>. Change: warnings and errors have a bucket of the same size of their own, so they are limited too.

--- a/telemetry/src/main/kotlin/yuccaferry/telemetry/DaemonTelemetry.kt
+++ b/telemetry/src/main/kotlin/yuccaferry/telemetry/DaemonTelemetry.kt
@@ -34,6 +34,9 @@
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val gcMetrics = JvmGcMetrics().apply { bindTo(registry) }
     private val limiter = LogRateLimiter()
+
+    /** Limits warnings and errors by themselves, so that other lines can't use up their share. */
+    private val warningLimiter = LogRateLimiter()
     private val droppedLines = registry.counter("yuccaferry_log_lines_dropped_total")
     private val lazyTraces = lazy { Traces(name, exporter) }
     private val traces by lazyTraces
@@ -53,7 +56,8 @@
     ) {
         val level = levelOf(severity)
         if (!logger.isEnabled(level)) return
-        when (val decision = limiter.admit(System.nanoTime() / NANOS_PER_MILLI)) {
+        val limit = if (level.isMoreSpecificThan(Level.WARN)) warningLimiter else limiter
+        when (val decision = limit.admit(System.nanoTime() / NANOS_PER_MILLI)) {
             LogRateLimiter.Decision.Dropped -> {
                 droppedLines.increment()
             }
