Report failures that nothing handles as an error line and a metric

What operators saw: 'Exception in thread "multiThreadIoEventLoopGroup-2-1" java.lang.StackOverflowError' without the daemon, the time, the task or the first frames in the lines that were kept, and nothing in the metrics. Cause: the scope of the event loop and the process had no handler, so Java's own printed the failure. Change: UncaughtFailures handles the coroutines of the event loop, and all threads of yuccaferry-gateway. It writes one line (uncaught_failure) and counts yuccaferry_uncaught_failures_total. If the report itself fails, for lack of memory or stack, a constant line goes to standard error. Evidence: UncaughtFailuresTest, three tests, one with a telemetry that throws OutOfMemoryError.

--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
@@ -10,6 +10,7 @@
 import sun.misc.Signal
 import yuccaferry.daemon.port.Field
 import yuccaferry.gateway.GatewayDaemon
+import yuccaferry.gateway.UncaughtFailures
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.HttpClientConnector
 import yuccaferry.gateway.request.TargetNotices
@@ -72,7 +73,9 @@
     val settings = file.current
     val telemetry = DaemonTelemetry(settings.name)
     val random = Random(System.nanoTime())
-    val loop = EventLoop()
+    val failures = UncaughtFailures(telemetry)
+    Thread.setDefaultUncaughtExceptionHandler(failures)
+    val loop = EventLoop(failures)
     val fleet = FleetView(telemetry)
     val notices = TargetNotices(loop, DaemonName(settings.name), telemetry)
     val memory = EngineMemoryClient(HttpClientConnector(loop), notices, telemetry)
--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/EventLoop.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/EventLoop.kt
@@ -3,18 +3,26 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import yuccaferry.model.MonotonicTime
 import java.util.concurrent.TimeUnit
+import kotlin.coroutines.EmptyCoroutineContext
 
-/** A single-threaded event loop; all other types of this package are confined to it. */
-class EventLoop {
+/**
+ * A single-threaded event loop; all other types of this package are confined to it.
+ *
+ * @param failures handles failures of coroutines that nothing else handles; if null, the thread's handler does.
+ */
+class EventLoop(
+    failures: CoroutineExceptionHandler? = null,
+) {
     internal val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
 
     /** Coroutines of this scope run on the event loop's thread. */
-    val scope = CoroutineScope(SupervisorJob() + group.next().asCoroutineDispatcher())
+    val scope = CoroutineScope(SupervisorJob() + group.next().asCoroutineDispatcher() + (failures ?: EmptyCoroutineContext))
 
     /** Stops the thread; coroutines that haven't completed are not resumed. */
     fun close() {
