Measure how late the event loop runs its tasks

What operators saw: nothing that tells a gateway whose loop was blocked from one that waited for the network. Change: a probe twice a second; loop_lag_ms in the status line, the gauge yuccaferry_loop_lag_seconds, and the warning loop_late from 0.5 s on. Evidence: LoopMonitorTest blocks the loop for 1.2 s and finds the warning and the lag.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -14,6 +14,7 @@
 import yuccaferry.gateway.net.Header
 import yuccaferry.gateway.net.HttpClientConnector
 import yuccaferry.gateway.net.HttpServer
+import yuccaferry.gateway.net.LoopMonitor
 import yuccaferry.gateway.net.RequestHandler
 import yuccaferry.gateway.peers.PeerLink
 import yuccaferry.gateway.peers.WorkTracker
@@ -57,6 +58,7 @@
 ) {
     /** The tasks without which this daemon doesn't report that it is ready. */
     val tasks = BackgroundTasks(loop, telemetry)
+    private val loopMonitor = LoopMonitor(loop, telemetry)
     private val workTracker = WorkTracker()
 
     private val health = TargetHealth()
@@ -91,13 +93,14 @@
     /** Number of caller connections on which a request is being received or answered. */
     val busyConnections: Int get() = callerServer.busyConnections
 
-    /** Connections, and messages between daemons, since the start. */
+    /** Connections, messages between daemons since the start, and the lag of the loop. */
     val statistics: List<Field>
         get() =
             listOf(
                 Field("connections", callerServer.openConnections),
                 Field("peer_sent", peers.sentMessages),
                 Field("peer_received", peers.receivedMessages),
+                Field("loop_lag_ms", loopMonitor.lagMillis),
             )
 
     private val isReady: Boolean get() = !callerServer.isDraining && fleet.isReady && tasks.areHealthy
@@ -113,6 +116,7 @@
         metricsAddress: InetSocketAddress,
         metrics: () -> String,
     ): ListenAddresses {
+        tasks.start("loop", isRequired = false) { loopMonitor.follow(it) }
         val metricsHandler = RequestHandler { _, reply -> reply.send(STATUS_OK, METRICS_HEADERS, metrics().toByteArray()) }
         return ListenAddresses(
             callers = callerServer.listen(callersAddress),
