--- a/gateway/src/main/kotlin/yuccaferry/gateway/BackgroundTasks.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/BackgroundTasks.kt
@@ -27,14 +27,16 @@
      * Runs [action] until the process ends, and again after a pause whenever it ends or fails.
      *
      * @param isRequired whether the process is healthy only while this task progresses.
+     * @param isHealthy whether what the task does is sound, beyond its progress; asked only if it is required.
      * @param action is given a function to call whenever it progresses.
      */
     fun start(
         name: String,
         isRequired: Boolean = true,
+        isHealthy: () -> Boolean = { true },
         action: suspend (onProgress: () -> Unit) -> Unit,
     ) {
-        val task = Task(loop.now())
+        val task = Task(loop.now(), isHealthy)
         if (isRequired) required += task
         loop.scope.launch {
             while (true) {
@@ -73,6 +75,7 @@
 
     private class Task(
         private var lastProgress: MonotonicTime,
+        private val isSound: () -> Boolean,
     ) {
         private var hasFailed = false
 
@@ -85,7 +88,7 @@
             hasFailed = true
         }
 
-        fun isHealthy(now: MonotonicTime) = !hasFailed && now - lastProgress <= STALL_MILLIS
+        fun isHealthy(now: MonotonicTime) = !hasFailed && now - lastProgress <= STALL_MILLIS && isSound()
     }
 
     companion object {
