Handle SIGHUP and SIGTERM from the first moment of the process

Callers and operators saw gateways end with status 129 when their settings were replaced within the first third of a second: the handlers were installed last, after the start, and until then the JVM's own ended the process. A SIGTERM in that time cut callers that were already connected.

The handlers are installed first in main. A SIGHUP before the settings are read does nothing, one during the start reloads them; a SIGTERM before there is a daemon exits with 0, one during the start lets the daemon leave as usual. Not covered: the time that the JVM needs to reach main.

--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
@@ -7,7 +7,6 @@
 import kotlinx.cli.optional
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
-import sun.misc.Signal
 import yuccaferry.daemon.port.Field
 import yuccaferry.gateway.GatewayDaemon
 import yuccaferry.gateway.net.EventLoop
@@ -33,6 +32,7 @@
 private const val EXIT_START = 3
 
 fun main(arguments: Array<String>) {
+    val signals = ProcessSignals().also { it.install() }
     val parser = ArgParser("yuccaferry-gateway")
     val path by parser.argument(ArgType.String, "settings", "path of the JSON settings; that in $SETTINGS_VARIABLE if omitted").optional()
     val checkOnly by parser.option(ArgType.Boolean, "check-settings", description = "check the settings and exit").default(false)
@@ -50,7 +50,7 @@
             fail("settings: can't be read: $unreadable")
         }
     if (checkOnly) return
-    run(file)
+    run(file, signals)
 }
 
 private fun runTraining(path: Path): Nothing {
@@ -68,7 +68,10 @@
  * Starts a daemon with the settings in [file] and returns while it runs; SIGTERM stops it and SIGHUP reloads the settings. Ends the
  * process with status 3 if an address can't be bound.
  */
-internal fun run(file: SettingsFile) {
+internal fun run(
+    file: SettingsFile,
+    signals: ProcessSignals = ProcessSignals(),
+) {
     val settings = file.current
     val telemetry = DaemonTelemetry(settings.name)
     val random = Random(System.nanoTime())
@@ -103,6 +106,7 @@
             random,
             settings.timing,
         )
+    handleSignals(signals, loop, file, daemon, platform, telemetry)
     try {
         runBlocking(loop.scope.coroutineContext) {
             daemon.listen(
@@ -123,26 +127,26 @@
         Runtime.getRuntime().halt(EXIT_START)
     }
     telemetry.event("started", Field("after_ms", System.currentTimeMillis() - ManagementFactory.getRuntimeMXBean().startTime))
-    handleSignals(loop, file, daemon, platform, telemetry)
 }
 
 /** Reloads the settings on SIGHUP, and stops the process on SIGTERM once its callers are served. */
 private fun handleSignals(
+    signals: ProcessSignals,
     loop: EventLoop,
     file: SettingsFile,
     daemon: GatewayDaemon,
     platform: PlatformAdapter,
     telemetry: DaemonTelemetry,
-) {
-    Signal.handle(Signal("HUP")) { loop.scope.launch { file.reload(telemetry) } }
-    Signal.handle(Signal("TERM")) {
+) = signals.attach(
+    onReload = { loop.scope.launch { file.reload(telemetry) } },
+    onTerminate = {
         loop.scope.launch { platform.leave() }
         loop.scope.launch {
             daemon.leave()
             Runtime.getRuntime().halt(0)
         }
-    }
-}
+    },
+)
 
 private fun address(
     field: String,
