Refuse messages whose transfer coding is not plainly chunked

A request with `Transfer-Encoding: gzip`, `identity`, `chunked;q=1` or an empty field was passed on without its body, and its body was read as the next request, so that one could be smuggled inside another. `chunked, chunked` and `gzip, chunked` were taken as chunked, and the body was passed on without its coding. Answers of targets with such codings were passed on as whole.

The HTTP codec looks for `chunked` anywhere in the fields and takes every other coding for none. Requests with anything but one field `chunked` in HTTP/1.1 are refused with 400 and the connection is closed (RFC 9112, section 6.3); such an answer counts as broken.

Without the check TransferCodingTest failed for eight of ten request forms and four of five answer forms: on the first form of the test expected: <[HTTP/1.1 400 Bad Request]> but was: <[HTTP/1.1 400 Bad Request, HTTP/1.1 200 OK]> (the smuggled request was served) expected: <502> but was: <200> The forms that the codec rejects itself pass without it as well. With it all passed.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpServerConnection.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpServerConnection.kt
@@ -71,6 +71,10 @@
         dropBody()
         val current = limits()
         when {
+            !hasSupportedTransferCoding(request) -> {
+                refuse(STATUS_BAD_REQUEST)
+            }
+
             HttpUtil.getContentLength(request, 0L) > current.bodyBytes -> {
                 refuse(STATUS_BODY_TOO_LARGE)
             }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/ResponseReader.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/ResponseReader.kt
@@ -37,6 +37,10 @@
                 end(context, "invalid response: ${part.decoderResult().cause()?.javaClass?.simpleName}")
                 return
             }
+            if (part is HttpResponse && !hasSupportedTransferCoding(part)) {
+                end(context, "unsupported transfer coding")
+                return
+            }
             if (part is HttpResponse) readHead(part)
             if (part is HttpContent && !informational) readContent(part)
             if (part is LastHttpContent) informational = false
