Keep a leaving daemon registered until its callers are served

A daemon that was told to end revoked its registration at once, registered again 2.5 s later, and stayed listed for up to 8 s after its end. Its peers stopped telling it which parts of prompts crash engines while it still served, and later counted a daemon that was gone.

The task that maintains the registration knew nothing of the revocation. It does so after the last connection, until the store has answered, for at most 1 s and never beyond the grace time.

--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
@@ -140,9 +140,8 @@
 ) = signals.attach(
     onReload = { loop.scope.launch { file.reload(telemetry) } },
     onTerminate = {
-        loop.scope.launch { platform.leave() }
         loop.scope.launch {
-            daemon.leave()
+            daemon.leave(deregister = platform::leave)
             Runtime.getRuntime().halt(0)
         }
     },
--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -1,7 +1,10 @@
 // Assembles one gateway daemon from its servers, its peer link and its forwarders, and shuts it down gracefully.
 package yuccaferry.gateway
 
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.Telemetry
 import yuccaferry.decisions.dispatch.PeerReports
@@ -125,8 +128,10 @@
      * Shuts down gracefully: reports that the daemon isn't ready, answers requests that still arrive, and returns when all connections are
      * closed and all reserved memory is released, or the grace time is nearly over. Requests that may not be answered by then are refused
      * once callers can know that the daemon leaves. Further calls wait for the end of the first.
+     *
+     * @param deregister makes this daemon unknown to its peers; called when its callers are served, and cancelled if it takes too long.
      */
-    suspend fun leave() {
+    suspend fun leave(deregister: suspend () -> Unit = {}) {
         val start = loop.now()
         val departure = gateway.departure ?: depart(start)
         val end = departure.end
@@ -136,7 +141,10 @@
             if (callerServer.openConnections == 0 && reservations.isEmpty) break
             delay(POLL_MILLIS)
         }
-        reservations.closeAll(RELEASE_MILLIS)
+        coroutineScope {
+            launch { withTimeoutOrNull(minOf(DEREGISTER_MILLIS, end + RELEASE_MILLIS - loop.now())) { deregister() } }
+            reservations.closeAll(RELEASE_MILLIS)
+        }
         telemetry.event("left", Field("cut", callerServer.busyConnections), Field("ms", loop.now() - start))
     }
 
@@ -168,6 +176,9 @@
         const val READINESS_PROPAGATION_MILLIS = 2_500L
         const val POLL_MILLIS = 50L
 
+        /** Milliseconds for the calls that make peers forget this daemon, if the grace time lasts: two calls to a slow store. */
+        const val DEREGISTER_MILLIS = 1_000L
+
         val METRICS_HEADERS = listOf(Header("Content-Type", "text/plain; version=0.0.4"))
 
         /** Limits that apply until the first configuration is read. */
--- a/integration-tests/src/test/kotlin/yuccaferry/integration/GatewayLeaveTest.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/GatewayLeaveTest.kt
@@ -1,12 +1,8 @@
 package yuccaferry.integration
 
 import kotlinx.coroutines.runBlocking
-import kotlinx.serialization.json.Json
 import org.junit.jupiter.api.AfterEach
-import yuccaferry.gateway.GatewayLimits
-import yuccaferry.gateway.app.GatewaySettings
 import yuccaferry.gateway.net.EventLoop
-import yuccaferry.integration.soak.StablePorts
 import yuccaferry.platform.standin.StandInKeys
 import yuccaferry.platform.standin.StoreStandIn
 import yuccaferry.platform.standin.configurationDocument
@@ -29,22 +25,8 @@
     private fun isListed() = onLoop { store.contains("yuccaferry/daemons/d") }
 
     private fun start(storePort: Int): ProcessUnderTest {
-        val settings =
-            GatewaySettings(
-                settingsVersion = 1,
-                name = "d",
-                zone = "z",
-                callers = "127.0.0.1:${StablePorts.take()}",
-                readiness = "127.0.0.1:${StablePorts.take()}",
-                metrics = "127.0.0.1:${StablePorts.take()}",
-                host = "127.0.0.1",
-                internalPorts = listOf(StablePorts.take()),
-                store = "127.0.0.1:$storePort",
-                limits = GatewayLimits(1.5, 5.0, 0.2, 100.0, 10.0, 8.0),
-            )
-        val file = File.createTempFile("gateway-leave", ".json", File("target"))
-        file.writeText(Json.encodeToString(GatewaySettings.serializer(), settings))
-        return ProcessUnderTest.start("gateway-leave", "yuccaferry.gateway.app.MainKt", listOf(file.path))
+        val file = File.createTempFile("gateway-leave", ".json", File("target")).also { it.writeSettings(gatewaySettings(storePort)) }
+        return ProcessUnderTest.start("gateway-leave", GATEWAY_MAIN, listOf(file.path))
     }
 
     /** Guards against crashes by daemons that leave: their peers didn't tell them of parts of prompts that crash engines. */
@@ -71,7 +53,29 @@
         }
     }
 
+    /** Guards against daemons that are killed because they still try to reach the store at the end of the grace time. */
+    @Test
+    fun `a gateway whose store doesn't answer ends within the grace time`() {
+        val storePort =
+            onLoop {
+                store.put(StandInKeys.CONFIGURATION, configurationDocument(1, "key"))
+                store.start().port
+            }
+        start(storePort).use { gateway ->
+            eventually("the gateway is listed") { isListed() }
+            onLoop { store.mode = StoreStandIn.Mode.SILENT }
+            val start = System.nanoTime()
+            gateway.signal(Signal.TERM)
+            assertEquals(0, gateway.awaitEnd())
+            val millis = (System.nanoTime() - start) / NANOS_PER_MILLI
+            assertTrue(millis < GRACE_MILLIS, "the gateway ended after $millis ms")
+        }
+    }
+
     private companion object {
+        /** Milliseconds of the grace time in the settings. */
+        const val GRACE_MILLIS = 8_000L
+
         /** Time limit of the end: the grace time in the settings and as long again. */
         val END_BOUND = 16.seconds
         const val NANOS_PER_MILLI = 1_000_000
