Keep the order of answers on a connection, and say why requests are dropped

Callers that had sent a second request before the answer to the first saw: a refusal, or an interim 100, written into the middle of that answer, whose connection was closed a second later; and with a daemon that leaves, no answer to the second request, although it had been received completely. Callers that read slowly saw the end of an answer cut when a daemon that leaves closed idle connections. None of this left a line in the log.

A connection wrote refusals at once whatever it was answering, announced its closing without a look at what it had received, and counted as idle as soon as the answer was in its own buffer. Refusals and interim answers now wait for the answers before them. An answer doesn't announce the closing while another request is being received or waits. A connection is busy until the operating system has taken the answer, for at most the idle timeout. A request that is received is held to the body limit at its beginning. The timer of a request that is received beside a running one is no longer lost. Failed writes close the connection instead of leaving the caller without an answer.

Each request whose connection ends without its whole answer leaves a line `request_dropped` with its id, how far it had come, and the reason (docs/OPERATIONS.md); a caller that leaves while its only request is handled has `caller_left` as before.

The changes to the body limit, the timer and failed writes have no test of their own.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -26,6 +26,7 @@
 import yuccaferry.gateway.request.AttemptTracker
 import yuccaferry.gateway.request.CallForwarder
 import yuccaferry.gateway.request.CrashDetector
+import yuccaferry.gateway.request.DroppedRequestLog
 import yuccaferry.gateway.request.Gateway
 import yuccaferry.gateway.request.MemoryReservations
 import yuccaferry.gateway.request.PromptGuard
@@ -78,7 +79,8 @@
     private val streams =
         StreamForwarder(loop, connector, format, selector, tracker, workTracker, reservations, notices, guard, random, buffers, telemetry)
     private val gateway = Gateway(loop, fleet, format, calls, streams, telemetry, random)
-    private val callerServer = HttpServer(loop, ::callerLimits, gateway)
+    private val dropped = DroppedRequestLog(format, telemetry)
+    private val callerServer = HttpServer(loop, ::callerLimits, gateway, dropped)
     private val readinessServer =
         HttpServer(
             loop,
@@ -145,6 +147,7 @@
             launch { withTimeoutOrNull(minOf(DEREGISTER_MILLIS, end + RELEASE_MILLIS - loop.now())) { deregister() } }
             reservations.closeAll(RELEASE_MILLIS)
         }
+        callerServer.reportUnanswered("exit")
         telemetry.event("left", Field("cut", callerServer.busyConnections), Field("ms", loop.now() - start))
     }
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpResponseWriter.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpResponseWriter.kt
@@ -3,7 +3,7 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
-import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelFuture
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -39,6 +39,11 @@
     internal var keepsOpen = false
         private set
 
+    private var lastWrite: ChannelFuture? = null
+
+    /** Whether a part of what was written is still buffered in this process. */
+    internal val hasUnsentBytes: Boolean get() = lastWrite?.isDone == false
+
     /** Sends a complete response. */
     fun send(
         status: Int,
@@ -51,7 +56,7 @@
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         }
         isComplete = true
-        channel.writeAndFlush(response)
+        lastWrite = channel.writeAndFlush(response)
     }
 
     /** Sends the status line and headers of a chunked response, whose length is not known yet. */
@@ -74,15 +79,16 @@
     /** Ends the body. */
     fun finish() {
         isComplete = true
-        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        lastWrite = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
     }
 
     internal fun continueRequest() {
         channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
     }
 
-    internal fun closeAfterAnswer() {
-        if (isComplete) channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE) else channel.close()
+    /** Calls [action] when the complete response has been handed to the operating system, with the failure if that isn't possible. */
+    internal fun afterLastWrite(action: (failure: Throwable?) -> Unit) {
+        checkNotNull(lastWrite).addListener { action(it.cause()) }
     }
 
     private fun fill(
--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpServer.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpServer.kt
@@ -39,11 +39,13 @@
  * HTTP server on [loop].
  *
  * @param limits returns the limits currently in force.
+ * @param observer is told of requests that end without an answer.
  */
 class HttpServer(
     private val loop: EventLoop,
     private val limits: () -> CallerLimits,
     private val handler: RequestHandler,
+    private val observer: ConnectionObserver = ConnectionObserver { _, _, _ -> },
 ) {
     private val listeners = mutableListOf<Channel>()
     private val connections = mutableSetOf<HttpServerConnection>()
@@ -83,13 +85,16 @@
     /** Closes the listeners, and the connections on which no request is being received or answered. */
     fun closeIdle() {
         listeners.forEach { it.close() }
-        connections.filterNot { it.isBusy }.forEach { it.close() }
+        connections.filterNot { it.isBusy }.forEach { it.close("idle while the server stops") }
     }
 
+    /** Tells the observer of all requests that are being received or answered, because of [reason]. */
+    fun reportUnanswered(reason: String) = connections.forEach { it.reportUnanswered(reason) }
+
     private inner class Pipeline : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             val current = limits()
-            val connection = HttpServerConnection(loop, channel, limits, { isDraining }, bodies, handler)
+            val connection = HttpServerConnection(loop, channel, limits, { isDraining }, bodies, handler, observer)
             connections += connection
             channel.closeFuture().addListener { connections -= connection }
             channel.pipeline().addLast(StrictRequestDecoder(current.headerBytes))
--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpServerConnection.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpServerConnection.kt
@@ -27,22 +27,46 @@
     private val isDraining: () -> Boolean,
     private val bodies: BufferBudget,
     private val handler: RequestHandler,
+    private val observer: ConnectionObserver,
 ) : ChannelInboundHandlerAdapter() {
     private var head: HttpRequest? = null
     private var body: BodyBuffer? = null
     private val waiting = ArrayDeque<Pending>()
-    private var running: Job? = null
-    private var refused = false
+    private var running: Running? = null
+
+    /** Status of the last answer on this connection, which follows the answers to the requests received before. */
+    private var refusal: Int? = null
+    private var mustContinue = false
+    private var maxBodyBytes = 0
     private var timer: ScheduledFuture<*>? = null
+    private var writeTimer: ScheduledFuture<*>? = null
+    private var closeReason: String? = null
+
+    /** Whether a request is being received or answered, or its answer is not completely sent. */
+    val isBusy: Boolean get() = running != null || isReceiving
 
-    val isBusy: Boolean get() = running != null || waiting.isNotEmpty() || head != null
+    private val isReceiving: Boolean get() = waiting.isNotEmpty() || head != null || refusal != null
 
-    fun close() {
+    fun close(reason: String) {
+        if (closeReason == null) closeReason = reason
         channel.close()
     }
 
+    /** Reports the requests that end without a complete answer if the connection is lost now. */
+    fun reportUnanswered(reason: String) {
+        running?.let { report(it.request, ConnectionObserver.Stage.ANSWERING, reason) }
+        waiting.forEach { report(it.request, ConnectionObserver.Stage.WAITING, reason) }
+        head?.let { report(it.withoutBody(), ConnectionObserver.Stage.RECEIVING, reason) }
+    }
+
+    private fun report(
+        request: IncomingRequest?,
+        stage: ConnectionObserver.Stage,
+        reason: String,
+    ) = observer.onRequestDropped(request, stage, reason)
+
     override fun channelActive(context: ChannelHandlerContext) {
-        armTimer(limits().idleTimeoutMillis + IDLE_GRACE_MILLIS) { close() }
+        armIdleTimer()
         context.fireChannelActive()
     }
 
@@ -51,7 +75,7 @@
         message: Any,
     ) {
         try {
-            if (!refused) read(message as HttpObject)
+            if (refusal == null) read(message as HttpObject)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -63,31 +87,26 @@
             return
         }
         if (part is HttpRequest) begin(part)
-        if (part is HttpContent && head != null && !refused) append(part)
+        if (part is HttpContent && head != null) append(part)
     }
 
     private fun begin(request: HttpRequest) {
         head = request
         dropBody()
         val current = limits()
-        when {
-            !hasSupportedTransferCoding(request) -> {
-                refuse(STATUS_BAD_REQUEST)
-            }
-
-            HttpUtil.getContentLength(request, 0L) > current.bodyBytes -> {
-                refuse(STATUS_BODY_TOO_LARGE)
-            }
-
-            HttpUtil.is100ContinueExpected(request) -> {
-                HttpResponseWriter(channel, mayKeepOpen = true).continueRequest()
-                armTimer(current.headerTimeoutMillis + current.idleTimeoutMillis) { refuse(STATUS_REQUEST_TIMEOUT) }
-            }
+        if (!hasSupportedTransferCoding(request)) return refuse(STATUS_BAD_REQUEST)
+        maxBodyBytes = current.bodyBytes
+        if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) return refuse(STATUS_BODY_TOO_LARGE)
+        mustContinue = HttpUtil.is100ContinueExpected(request)
+        continueRequest()
+        armTimer(current.headerTimeoutMillis + current.idleTimeoutMillis) { refuse(STATUS_REQUEST_TIMEOUT) }
+    }
 
-            else -> {
-                armTimer(current.headerTimeoutMillis + current.idleTimeoutMillis) { refuse(STATUS_REQUEST_TIMEOUT) }
-            }
-        }
+    /** Asks for the body that the caller holds back, once all answers before it are sent. */
+    private fun continueRequest() {
+        if (!mustContinue || running != null) return
+        mustContinue = false
+        HttpResponseWriter(channel, mayKeepOpen = true).continueRequest()
     }
 
     private fun append(part: HttpContent) {
@@ -97,7 +116,7 @@
             refuse(STATUS_UNAVAILABLE)
             return
         }
-        if (received.size > limits().bodyBytes) {
+        if (received.size > maxBodyBytes) {
             refuse(STATUS_BODY_TOO_LARGE)
             return
         }
@@ -105,6 +124,7 @@
         val request = checkNotNull(head)
         head = null
         body = null
+        mustContinue = false
         timer?.cancel(false)
         val whole = IncomingRequest(request.method().name(), request.uri(), request.headers(), received.take())
         waiting.addLast(Pending(whole, HttpUtil.isKeepAlive(request), received))
@@ -113,46 +133,64 @@
 
     private fun runNext() {
         if (running != null || !channel.isActive) return
-        val next = waiting.removeFirstOrNull() ?: return
-        val reply = HttpResponseWriter(channel, mayKeepOpen = next.keepAlive, isDraining = isDraining)
+        val next = waiting.removeFirstOrNull() ?: return sendRefusal()
+        // A caller that has already sent its next request gets an answer to that one too.
+        val reply = HttpResponseWriter(channel, mayKeepOpen = next.keepAlive) { isDraining() && !isReceiving }
         val job = loop.scope.launch(start = CoroutineStart.LAZY) { handler.handle(next.request, reply) }
-        running = job
+        val current = Running(next.request, reply, job).also { running = it }
         job.invokeOnCompletion {
             loop.group.next().execute {
                 next.body.drop()
-                ended(reply)
+                handled(current)
             }
         }
         job.start()
     }
 
-    private fun ended(reply: HttpResponseWriter) {
+    private fun handled(current: Running) {
+        if (!current.reply.isComplete) return close("answer incomplete")
+        // The connection is busy until the caller has taken the answer: closing it would cut what is still buffered.
+        if (current.reply.hasUnsentBytes) armWriteTimer()
+        current.reply.afterLastWrite { failure -> if (failure == null) sent(current) else close("answer not written: $failure") }
+    }
+
+    private fun sent(current: Running) {
+        writeTimer?.cancel(false)
         running = null
-        if (!reply.isComplete || !reply.keepsOpen) {
-            reply.closeAfterAnswer()
-            return
-        }
-        if (head == null) armTimer(limits().idleTimeoutMillis + IDLE_GRACE_MILLIS) { close() }
+        if (!current.reply.keepsOpen) return close("announced in the last answer")
+        continueRequest()
         runNext()
+        if (!isBusy) armIdleTimer()
     }
 
     private fun refuse(status: Int) {
-        refused = true
+        refusal = status
+        report(head?.withoutBody(), ConnectionObserver.Stage.RECEIVING, "refused with $status")
         head = null
         dropBody()
         timer?.cancel(false)
-        val reply = HttpResponseWriter(channel, mayKeepOpen = false)
-        reply.send(status, emptyList(), ByteArray(0))
+        if (running == null) sendRefusal()
+    }
+
+    private fun sendRefusal() {
+        val status = refusal ?: return
+        timer?.cancel(false)
+        HttpResponseWriter(channel, mayKeepOpen = false).send(status, emptyList(), ByteArray(0))
         // Closing a socket with unread bytes resets the connection, and the caller could lose the answer.
-        channel.eventLoop().schedule(Runnable { close() }, LINGER_MILLIS, TimeUnit.MILLISECONDS)
+        channel.eventLoop().schedule(Runnable { close("refused with $status") }, LINGER_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         timer?.cancel(false)
+        writeTimer?.cancel(false)
+        val byCaller = closeReason == null
+        // The log line of a request in progress tells already that its caller has left.
+        if (!byCaller || running?.job?.isActive != true || waiting.isNotEmpty()) reportUnanswered(closeReason ?: "closed by the caller")
+        head = null
         dropBody()
         waiting.forEach { it.body.drop() }
         waiting.clear()
-        running?.cancel()
+        running?.job?.cancel()
     }
 
     private fun dropBody() {
@@ -169,16 +207,22 @@
     override fun exceptionCaught(
         context: ChannelHandlerContext,
         cause: Throwable,
-    ) {
-        context.close()
-    }
+    ) = close(cause.toString())
+
+    private fun armIdleTimer() = armTimer(limits().idleTimeoutMillis + IDLE_GRACE_MILLIS) { close("idle") }
 
     private fun armTimer(
         millis: Long,
         action: () -> Unit,
     ) {
         timer?.cancel(false)
-        timer = channel.eventLoop().schedule(Runnable { if (running == null) action() }, millis, TimeUnit.MILLISECONDS)
+        timer = channel.eventLoop().schedule(Runnable { action() }, millis, TimeUnit.MILLISECONDS)
+    }
+
+    /** Limits the time in which the caller reads the rest of a complete answer. */
+    private fun armWriteTimer() {
+        val millis = limits().idleTimeoutMillis + IDLE_GRACE_MILLIS
+        writeTimer = channel.eventLoop().schedule(Runnable { close("answer not read") }, millis, TimeUnit.MILLISECONDS)
     }
 
     private class Pending(
@@ -187,6 +231,12 @@
         val body: BodyBuffer,
     )
 
+    private class Running(
+        val request: IncomingRequest,
+        val reply: HttpResponseWriter,
+        val job: Job,
+    )
+
     private companion object {
         /** Milliseconds beyond the idle timeout before the connection is closed, so that a request already in transit is still served. */
         const val IDLE_GRACE_MILLIS = 2_000L
@@ -202,4 +252,6 @@
     }
 }
 
+private fun HttpRequest.withoutBody() = IncomingRequest(method().name(), uri(), headers(), ByteArray(0))
+
 private fun Throwable?.isTooLong(): Boolean = this is TooLongHttpHeaderException || this is TooLongHttpLineException
