Answer the requests that wait when the grace time is over

Requests that a leaving daemon had accepted and not answered at the end of its grace time lost their connection without an answer when the process exited: also those that waited in the daemon and that no target had been sent, which their callers could have sent elsewhere.

Before it exits the daemon ends its requests: one that nothing was sent for, or that was rejected, is answered 503, one that may have run 502, and only answers that have begun are cut.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -145,12 +145,19 @@
         }
         coroutineScope {
             launch { withTimeoutOrNull(minOf(DEREGISTER_MILLIS, end + RELEASE_MILLIS - loop.now())) { deregister() } }
+            gateway.endAll()
+            launch { awaitLastAnswers() }
             reservations.closeAll(RELEASE_MILLIS)
         }
         callerServer.reportUnanswered("exit")
         telemetry.event("left", Field("cut", callerServer.busyConnections), Field("ms", loop.now() - start))
     }
 
+    /** Waits until the answers to the last requests are sent, for [RELEASE_MILLIS] at most. */
+    private suspend fun awaitLastAnswers() {
+        withTimeoutOrNull(RELEASE_MILLIS) { while (callerServer.busyConnections > 0) delay(LAST_POLL_MILLIS) }
+    }
+
     private fun depart(start: MonotonicTime): Departure {
         telemetry.event("leaving", Field("busy", callerServer.busyConnections), Field("open", callerServer.openConnections))
         callerServer.drain()
@@ -179,6 +186,9 @@
         const val READINESS_PROPAGATION_MILLIS = 2_500L
         const val POLL_MILLIS = 50L
 
+        /** Milliseconds between checks whether the last answers are sent: a fraction of [RELEASE_MILLIS]. */
+        const val LAST_POLL_MILLIS = 5L
+
         /** Milliseconds for the calls that make peers forget this daemon, if the grace time lasts: two calls to a slow store. */
         const val DEREGISTER_MILLIS = 1_000L
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/AdmittedRequest.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/AdmittedRequest.kt
@@ -23,4 +23,7 @@
     val version: Long,
     val arrival: MonotonicTime,
     val deadline: MonotonicTime,
-)
+) {
+    /** The attempts to forward it; null until the first target is sought. */
+    var attempts: AttemptTracker.Attempts? = null
+}
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/AttemptTracker.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/AttemptTracker.kt
@@ -23,7 +23,7 @@
     /** Starts to track [request], of which nothing has been sent yet. */
     fun begin(request: AdmittedRequest): Attempts {
         retryPolicy.recordFirst(request, loop.now())
-        return Attempts(request)
+        return Attempts(request).also { request.attempts = it }
     }
 
     /** Attempts to forward [request]. */
@@ -32,6 +32,7 @@
     ) {
         private val ends = mutableListOf<AttemptEnd>()
         private var start = loop.now()
+        private var isUnderWay = false
 
         /** The target of each attempt so far; the helper instead if the helper was at fault. */
         val tried = mutableSetOf<TargetId>()
@@ -48,6 +49,7 @@
             vararg inputs: Field,
         ) {
             start = loop.now()
+            isUnderWay = true
             log.logStart(request, target, ends.size + 1, *inputs)
         }
 
@@ -65,6 +67,7 @@
             vararg details: Field,
         ) {
             ends += end
+            isUnderWay = false
             tried += faultyTarget.id
             log.logEnd(request, target, end, start, loop.now(), *details)
             health.record(faultyTarget, end, loop.now())
@@ -79,6 +82,12 @@
             return if (!last.wasSent) ends.size < maxUnreachable else retryPolicy.takeRetry(request, last, sent, loop.now())
         }
 
+        /** Answers the caller before the request is done, because the daemon exits; returns the outcome for the log. */
+        fun refuseAtExit(reply: HttpResponseWriter): String {
+            if (isUnderWay) ends += AttemptEnd.Broken("the daemon exits")
+            return refuse(reply, retryAfterMillis = 0) + ":exit"
+        }
+
         /** Answers the caller with the status that follows from the attempts; returns the outcome for the log. */
         fun refuse(
             reply: HttpResponseWriter,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/Gateway.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/Gateway.kt
@@ -2,6 +2,9 @@
 package yuccaferry.gateway.request
 
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.job
 import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.Severity
@@ -32,6 +35,7 @@
     private val random: Random,
 ) : RequestHandler {
     private var startupWaitEnd: MonotonicTime? = null
+    private val running = mutableSetOf<Exchange>()
 
     /** How this daemon leaves; null while it stays. */
     var departure: Departure? = null
@@ -41,12 +45,14 @@
         reply: HttpResponseWriter,
     ) {
         val arrival = loop.now()
+        val exchange = Exchange(currentCoroutineContext().job).also { running += it }
         var head: RequestHead? = null
         var outcome = "caller_left"
         try {
             head = format.readRequest(request)
-            outcome = answer(request, head, reply)
+            outcome = answer(request, head, reply, exchange)
         } catch (cancelled: CancellationException) {
+            if (exchange.isEnding) outcome = answerAtExit(head, exchange, reply)
             throw cancelled
         } catch (unexpected: Throwable) {
             // An Error ends this request only, like any other defect.
@@ -55,16 +61,36 @@
             telemetry.event("defect", Field("request", head?.id), Field("error", unexpected), Field("at", where), severity = Severity.ERROR)
             if (!reply.isStarted) format.refuse(reply, head?.id, STATUS_BAD_GATEWAY)
         } finally {
+            running -= exchange
             val millis = loop.now() - arrival
             telemetry.event("request_ended", Field("request", head?.id), Field("outcome", outcome), Field("ms", millis))
             telemetry.time("yuccaferry_request_duration", millis, Field("outcome", outcome.substringBefore(':')))
         }
     }
 
+    /** Ends all requests: answers those whose answers have not begun, and cuts the others. */
+    fun endAll() =
+        running.toList().forEach {
+            it.isEnding = true
+            it.job.cancel()
+        }
+
+    private fun answerAtExit(
+        head: RequestHead?,
+        exchange: Exchange,
+        reply: HttpResponseWriter,
+    ): String {
+        if (reply.isStarted) return "cut:exit"
+        exchange.admitted?.attempts?.let { return it.refuseAtExit(reply) }
+        format.refuse(reply, head?.id, STATUS_UNAVAILABLE)
+        return "leaving"
+    }
+
     private suspend fun answer(
         request: IncomingRequest,
         head: RequestHead,
         reply: HttpResponseWriter,
+        exchange: Exchange,
     ): String {
         if (!fleet.isReady) awaitStartup()
         val configuration = fleet.configuration
@@ -79,7 +105,7 @@
             format.refuse(reply, head.id, status ?: STATUS_NOT_FOUND)
             return "refused:$status:configuration_${configuration.version}"
         }
-        return forward(request, head, route, account, configuration, reply)
+        return forward(request, head, route, account, configuration, reply, exchange)
     }
 
     /** Suspends until the store's first answer, which arrives within milliseconds after the start unless the store is unreachable. */
@@ -109,6 +135,7 @@
         account: Account?,
         configuration: RoutingConfiguration,
         reply: HttpResponseWriter,
+        exchange: Exchange,
     ): String {
         val service = configuration.services[route.serviceAt(random.nextDouble())]
         if (service == null) {
@@ -123,12 +150,21 @@
             return "leaving"
         }
         val admitted = AdmittedRequest(request, head, route, service, account, configuration.version, now, deadline)
+        exchange.admitted = admitted
         return when (route.kind) {
             RequestKind.Safe, RequestKind.Unsafe -> calls.forward(admitted, reply)
             is RequestKind.Stream -> streams.forward(admitted, route.kind as RequestKind.Stream, reply)
         }
     }
 
+    /** A request in progress. */
+    private class Exchange(
+        val job: Job,
+    ) {
+        var admitted: AdmittedRequest? = null
+        var isEnding = false
+    }
+
     private companion object {
         const val STATUS_BAD_REQUEST = 400
         const val STATUS_UNAUTHORIZED = 401
