Take a refusal for the answer only if it names the request

Callers of streams got 503, a promise that nothing ran, for requests that a target was running, when the target sent the refusal of another request first; a stream that may be repeated went to a second target. The same happened to bookings and streams with a refusal that states no id, or two.

Cause: StreamAttempt looked at the refusal before the id, and ended at the first answer of another request. Calls skipped such answers, but took a refusal without an id for their own, and of several ids the first.

Change: OwnAnswerReader serves calls and streams. It skips each answer that names another request, within the byte limit, and a refusal without an id is an unknown outcome.

Result: ForeignAnswerTest, ForwardingTest, EndlessAnswerTest, FalsePromiseTest, TargetNoticeTest pass.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/port/RequestFormat.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/port/RequestFormat.kt
@@ -73,7 +73,7 @@
 /**
  * Contents of the headers of a target's answer.
  *
- * @property id the request that the answer belongs to; null if not stated.
+ * @property ids the request that the answer belongs to; empty if not stated, several if the answer contradicts itself.
  * @property isSigned whether the answer carries the target's proof of origin.
  * @property isEncoded whether the body has a content encoding, so that its bytes are not the target's own.
  * @property hasNotRun whether the target states that it did not run the request.
@@ -82,7 +82,7 @@
  */
 class AnswerHead(
     val status: Int,
-    val id: RequestId?,
+    val ids: Set<RequestId>,
     val isSigned: Boolean,
     val isEncoded: Boolean,
     val hasNotRun: Boolean,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
@@ -10,7 +10,6 @@
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.HttpClientConnection
 import yuccaferry.gateway.net.HttpClientConnector
-import yuccaferry.gateway.net.HttpResponsePart
 import yuccaferry.gateway.net.HttpResponseWriter
 import yuccaferry.gateway.peers.Work
 import yuccaferry.gateway.peers.WorkTracker
@@ -88,22 +87,16 @@
         target: Target,
         share: BufferBudget.Share,
     ): CallResult {
-        var skippedBytes = 0L
-        while (skippedBytes <= MAX_SKIPPED_BYTES) {
-            val part = connection.receive()
-            skippedBytes += if (part is HttpResponsePart.Piece) part.bytes.size else SKIPPED_PART_BYTES
-            if (part is HttpResponsePart.Broken) return CallResult(AttemptEnd.Broken(part.reason))
-            if (part !is HttpResponsePart.Head) continue
-            val stated = format.readAnswer(part.status, part.headers)
-            notices.record(target, stated.notice, request.head.id)
-            // An answer to another request may precede the expected one; the loop skips its body.
-            if (stated.id != null && stated.id != request.head.id) continue
-            if (stated.hasNotRun) return CallResult(stated.rejection)
-            val body = collectBody(connection, share) ?: return CallResult(AttemptEnd.Broken("answer incomplete or too large"))
-            if (!stated.isSigned || stated.isEncoded) return CallResult(AttemptEnd.Broken("answer unsigned or encoded"))
-            return CallResult(AttemptEnd.Answered(part.status), BufferedResponse(part, body))
-        }
-        return CallResult(AttemptEnd.Broken("foreign answers exceed $MAX_SKIPPED_BYTES bytes"))
+        val answer =
+            when (val own = OwnAnswerReader(format, notices, request, target).read { connection.receive() }) {
+                is OwnAnswer.Begun -> own
+                is OwnAnswer.None -> return CallResult(own.end)
+            }
+        val stated = answer.stated
+        if (stated.hasNotRun) return CallResult(stated.rejection)
+        val body = collectBody(connection, share) ?: return CallResult(AttemptEnd.Broken("answer incomplete or too large"))
+        if (!stated.isSigned || stated.isEncoded) return CallResult(AttemptEnd.Broken("answer unsigned or encoded"))
+        return CallResult(AttemptEnd.Answered(answer.head.status), BufferedResponse(answer.head, body))
     }
 
     private class CallResult(
@@ -114,12 +107,6 @@
     private companion object {
         const val SERVER_ERROR = 500
 
-        /** Maximum bytes of answers to other requests that are skipped: a few of the usual size. */
-        const val MAX_SKIPPED_BYTES = 262_144L
-
-        /** Bytes that a skipped head counts as. */
-        const val SKIPPED_PART_BYTES = 256
-
         /** Milliseconds to establish a connection: many round trips between zones, a fraction of a call's timeout. */
         const val CONNECT_MILLIS = 150L
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -143,21 +143,17 @@
         connection: HttpClientConnection,
         waitUntilDeadline: Boolean,
     ): AttemptEnd {
-        val head =
-            when (val first = receive(connection, waitUntilDeadline)) {
-                is HttpResponsePart.Head -> first
-                is HttpResponsePart.Broken -> return AttemptEnd.Broken(first.reason)
-                is HttpResponsePart.Piece, HttpResponsePart.End -> return AttemptEnd.Broken("expected a response head, found body")
-                null -> return AttemptEnd.TimedOut
+        val answer =
+            when (val own = OwnAnswerReader(format, notices, request, placement.main).read { receive(connection, waitUntilDeadline) }) {
+                is OwnAnswer.Begun -> own
+                is OwnAnswer.None -> return own.end
             }
-        val stated = format.readAnswer(head.status, head.headers)
-        notices.record(placement.main, stated.notice, request.head.id)
+        val stated = answer.stated
         return when {
             stated.hasNotRun -> reject(stated)
-            stated.id != null && stated.id != request.head.id -> AttemptEnd.Broken("answer to another request")
             !stated.isSigned || stated.isEncoded -> AttemptEnd.Broken("answer unsigned or encoded")
-            head.status != STATUS_OK -> collectFailure(connection, head)
-            else -> forwardStream(connection, head, waitUntilDeadline)
+            answer.head.status != STATUS_OK -> collectFailure(connection, answer.head)
+            else -> forwardStream(connection, answer.head, waitUntilDeadline)
         }
     }
 
