Continue a stream only with an event that is known to be the next one

Callers found a second target's text in the middle of their stream, or received events twice. After a stream had begun and broken off, the next target's 200 was joined to it if its body had no numbers: a page of text, an error message, events without ids. A stream whose events had no ids began again at the second target.

Cause: the check for a gap let everything through that stated no number, and the number of a block was that of its first numbered event, wherever that stood. A stream was continued after the last number that was known, although events without one had followed.

Change: EventSplitter returns the number of each event. The first event of a continuation must have the next number; a stream whose last event has none is cut instead of being sent again.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/EventSplitter.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/EventSplitter.kt
@@ -2,17 +2,21 @@
 package yuccaferry.gateway.request
 
 /**
- * One or more complete events.
+ * Complete events, or comments and empty lines that end like events.
  *
  * @property bytes the events as received.
- * @property firstId number of the first event, null if it has none.
- * @property lastId number of the last event, null if it has none.
+ * @property ids number of each event in order, null for an event that has none; comments and empty lines are no events.
  */
 internal class Events(
     val bytes: ByteArray,
-    val firstId: Long?,
-    val lastId: Long?,
-)
+    val ids: List<Long?>,
+) {
+    /** Number of the first event, null if it has none. */
+    val firstId: Long? get() = ids.firstOrNull()
+
+    /** Number of the last event, null if it has none. */
+    val lastId: Long? get() = ids.lastOrNull()
+}
 
 /** Buffers bytes until events are complete. */
 internal class EventSplitter {
@@ -36,8 +40,20 @@
         val whole = buffer.copyOf(end)
         buffer.copyInto(buffer, 0, end, size)
         size -= end
-        val ids = ID_LINE.findAll(String(whole, Charsets.ISO_8859_1)).mapNotNull { it.groupValues[1].toLongOrNull() }.toList()
-        return Events(whole, ids.firstOrNull(), ids.lastOrNull())
+        return Events(whole, idsOf(String(whole, Charsets.ISO_8859_1)))
+    }
+
+    private fun idsOf(text: String): List<Long?> {
+        val ids = mutableListOf<Long?>()
+        var hasFields = false
+        var id: Long? = null
+        for (line in text.lineSequence()) {
+            if (line.isEmpty() && hasFields) ids += id
+            if (line.isEmpty()) id = null
+            hasFields = line.isNotEmpty() && (hasFields || !line.startsWith(':'))
+            if (line.startsWith("id:")) id = line.substring(ID_START).trim().toLongOrNull()
+        }
+        return ids
     }
 
     /** Returns the index after the last event that ends at or after [from]; zero if there is none. */
@@ -57,6 +73,6 @@
         private const val INITIAL_BYTES = 512
         private const val NEWLINE = '\n'.code.toByte()
         private const val RETURN = '\r'.code.toByte()
-        private val ID_LINE = Regex("(?:^|\\n)id:[ ]?([0-9]+)")
+        private const val ID_START = "id:".length
     }
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -52,6 +52,9 @@
     /** Number of blocks of events that have arrived. */
     private var blocks = 0
     private val isFirst get() = blocks == 0
+
+    /** Whether an event has arrived; comments are none. */
+    private var hasEvents = false
     private var connection: HttpClientConnection? = null
     private val mainWork: Work
     private val helperWork: List<Work>
@@ -197,7 +200,7 @@
         unnumberedBytes += piece.bytes.size
         val events = splitter.add(piece.bytes)
         if (splitter.isTooLong) return AttemptEnd.Broken("event exceeds ${EventSplitter.MAX_EVENT_BYTES} bytes")
-        if (events?.lastId != null) unnumberedBytes = 0
+        if (events?.ids?.any { it != null } == true) unnumberedBytes = 0
         if (unnumberedBytes > EventSplitter.MAX_EVENT_BYTES) return AttemptEnd.Broken("$unnumberedBytes bytes of events without a number")
         return events?.let { forwardEvents(it, head) }
     }
@@ -217,15 +220,17 @@
         }
         if (blocks == BEGUN_BLOCKS) onBegun()
         if (!reply.isStarted) reply.start(head.status, format.returnedHeaders(head.headers))
-        progress.events++
-        progress.lastEvent = events.lastId ?: progress.lastEvent
+        hasEvents = hasEvents || events.ids.isNotEmpty()
+        progress.record(events)
         val taken = withTimeoutOrNull(request.deadline - loop.now()) { reply.write(events.bytes) }
         return if (taken == null) AttemptEnd.TimedOut else null
     }
 
     private fun leavesGap(events: Events): Boolean {
-        val first = events.firstId ?: return false
-        val last = progress.lastEvent ?: return false
+        val last = progress.lastEvent
+        if (last == null || events.ids.isEmpty()) return false
+        // Nothing but its number shows that another target's first event is the next one.
+        val first = events.firstId ?: return !hasEvents
         return first != last + 1
     }
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -62,7 +62,7 @@
             attempts.recordEnd(placement.main, end, attempt.faultyTarget ?: placement.main, *attempt.timing.fields())
             recordOutcome(request, placement.main, attempt, end, reply.isComplete)
             if (reply.isComplete) return "answered:events_${progress.events}"
-            if (!attempts.canRetry(MAX_TARGETS)) break
+            if (!progress.isResumable || !attempts.canRetry(MAX_TARGETS)) break
         }
         if (reply.isStarted) return "cut:events_${progress.events}"
         return progress.failure?.respond(format, reply) ?: refuse(request, attempts, reply)
@@ -203,11 +203,27 @@
 
 /** Progress of a stream across its attempts; [lastEvent] is the number of the last event that the caller received, or null. */
 internal class StreamProgress(
-    var lastEvent: Long?,
+    lastEvent: Long?,
 ) {
+    var lastEvent: Long? = lastEvent
+        private set
+
     /** Number of blocks of events forwarded to the caller. */
     var events = 0
+        private set
+
+    /** Whether another target can continue after the last event, which it is told by its number. */
+    var isResumable = true
+        private set
 
     /** A target's own failure, which the caller receives if no other target succeeds. */
     var failure: BufferedResponse? = null
+
+    /** Records that [forwarded] was forwarded to the caller. */
+    fun record(forwarded: Events) {
+        events++
+        if (forwarded.ids.isEmpty()) return
+        lastEvent = forwarded.ids.lastOrNull { it != null } ?: lastEvent
+        isResumable = forwarded.lastId != null
+    }
 }
--- a/gateway/src/test/kotlin/yuccaferry/gateway/request/EventSplitterTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/request/EventSplitterTest.kt
@@ -45,4 +45,14 @@
     fun `ignores an id inside data`() {
         assertEquals(3L, add("id: 3\ndata: id: 9\n\n")?.lastId)
     }
+
+    @Test
+    fun `returns no number for an event without one, wherever it stands`() {
+        assertEquals(listOf(null, 3L, null), add("data: a\n\nid: 3\ndata: b\n\nid: x\ndata: c\n\n")?.ids)
+    }
+
+    @Test
+    fun `counts neither comments nor empty lines as events`() {
+        assertEquals(listOf<Long?>(3L), add(": a\n\n\n\n: b\nid: 3\ndata: b\n\n:\n\n")?.ids)
+    }
 }
