Don't end a stream as complete by an answer without any event

Callers received a stream that looked complete although it had broken off after its first events: the next target answered 200 with no event, or ended its connection after a head without a length. A first target that stopped after such a head gave an empty 200.

Cause: the end of any body without a partial event completed the stream.

Change: an attempt that brings no event completes a stream only if nothing was forwarded before and the answer states its length. Where the earlier target had sent its last event and only the end of the body was lost, the stream is now cut, too: nothing in the events shows that they were the last ones.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -236,6 +236,7 @@
 
     private fun finish(head: HttpResponsePart.Head): AttemptEnd {
         if (splitter.hasPartialEvent) return AttemptEnd.Broken("stream ended within an event")
+        if (!hasEvents && (reply.isStarted || !head.statesLength)) return AttemptEnd.Broken("stream ended before its first event")
         if (!reply.isStarted) reply.start(head.status, format.returnedHeaders(head.headers))
         reply.finish()
         return AttemptEnd.Answered(head.status)
