Don't reuse a connection to the store on which more has arrived

A store that sends an answer twice would make the mirror take the second one for the answer to its next call, and so on for all calls: a watch's revision for another watch, a refusal for the renewal of a lease.

Cause: StoreClient kept a connection after a complete answer whatever had arrived behind it, and the store's answers carry no id.

Evidence: without the change 4 tests of RepeatedStoreAnswerTest fail, e.g. "an answer that is sent twice": expected: <21> but was: <99>.

Change: a kept connection is reused only if nothing is unread on it. A further answer that arrives only after the next call was sent, or half of a head, can still not be told from that call's answer; the answer behind it is then unread, so that the shift ends with that call.

Result: RepeatedStoreAnswerTest, StoreClientTest, StoreMirrorTest and StoreTimingTest pass.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpClientConnection.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpClientConnection.kt
@@ -33,6 +33,9 @@
     /** Whether the connection is open as far as this side has detected. */
     val isOpen: Boolean get() = channel.isActive
 
+    /** Whether the connection is open and nothing has arrived beyond what was received, which would look like the next response. */
+    val isReusable: Boolean get() = isOpen && inbox.isEmpty
+
     /** Arrival time of the last bytes of a response, whether or not they have been received; null before the first. */
     val lastArrival: MonotonicTime? get() = inbox.lastArrival
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/ResponseInbox.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/ResponseInbox.kt
@@ -21,6 +21,10 @@
     var lastArrival: MonotonicTime? = null
         private set
 
+    /** Whether all parts have been received. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    val isEmpty: Boolean get() = parts.isEmpty
+
     /** Sets the connection whose reads are paused. */
     fun attach(connection: Connection) {
         this.connection = connection
