Don't give up a stream because its target accepts no further connection

Streams were cut, or sent to a second target, and prompts counted as the cause of a crash, when a target at its limit of connections was silent for half a second.

Cause: the check of a silent target took each failure to connect for a crash. A target at its limit resets a connection that it has accepted, and the reset mostly overtakes the completion of the connection; one that stops listening for a while refuses it. CrashDetector took both for a crash, too.

Change: HttpClientConnector.probe tells apart a reset (reachable), a refusal, and no answer. A refusal ends a stream if the next try 250 ms later is refused too and somebody may continue the stream; no answer ends it at once, as before. The open connection may still bring bytes while the target is asked, which are then taken.

Not settled: a process that has stopped listening for good to end its open streams is given up after two refusals, and CrashDetector takes one refusal for a crash.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpClientConnection.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpClientConnection.kt
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
@@ -78,23 +79,41 @@
         timeoutMillis: Long,
     ): HttpClientConnection? {
         val inbox = ResponseInbox(loop::now)
-        val future =
-            Bootstrap()
-                .group(loop.group)
-                .channel(NioSocketChannel::class.java)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis.toInt().coerceAtLeast(1))
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.SO_KEEPALIVE, true)
-                .handler(Pipeline(inbox))
-                .connect(address)
+        val future = begin(address, timeoutMillis, inbox)
+        return if (awaitFailure(future) == null) HttpClientConnection(future.channel(), inbox) else null
+    }
+
+    /** Connects to [address] and closes the connection; waits [timeoutMillis] at most. */
+    suspend fun probe(
+        address: InetSocketAddress,
+        timeoutMillis: Long,
+    ): Reachability {
+        val future = begin(address, timeoutMillis, ResponseInbox(loop::now))
+        return reachabilityOf(awaitFailure(future)).also { future.channel().close() }
+    }
+
+    private fun begin(
+        address: InetSocketAddress,
+        timeoutMillis: Long,
+        inbox: ResponseInbox,
+    ): ChannelFuture =
+        Bootstrap()
+            .group(loop.group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis.toInt().coerceAtLeast(1))
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_KEEPALIVE, true)
+            .handler(Pipeline(inbox))
+            .connect(address)
+
+    /** Like [ChannelFuture.awaitFailure], but closes the connection if the caller is cancelled. */
+    private suspend fun awaitFailure(future: ChannelFuture): Throwable? =
         try {
-            if (future.awaitFailure() != null) return null
+            future.awaitFailure()
         } catch (cancelled: CancellationException) {
             future.channel().close()
             throw cancelled
         }
-        return HttpClientConnection(future.channel(), inbox)
-    }
 
     private class Pipeline(
         private val inbox: ResponseInbox,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/CrashDetector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/CrashDetector.kt
@@ -5,6 +5,7 @@
 import yuccaferry.daemon.port.Telemetry
 import yuccaferry.decisions.forward.AttemptEnd
 import yuccaferry.gateway.net.HttpClientConnector
+import yuccaferry.gateway.net.Reachability
 import yuccaferry.gateway.view.Target
 
 /** Tells crashes of targets from connections that broke. */
@@ -19,10 +20,7 @@
         end: AttemptEnd,
     ): Boolean {
         if (end !is AttemptEnd.Broken) return false
-        connector.connect(target.address, CONNECT_MILLIS)?.let {
-            it.close()
-            return false
-        }
+        if (connector.probe(target.address, CONNECT_MILLIS) == Reachability.REACHABLE) return false
         telemetry.event(
             "target_crashed",
             Field("target", target.id),
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -2,6 +2,7 @@
 package yuccaferry.gateway.request
 
 import kotlinx.coroutines.withTimeoutOrNull
+import yuccaferry.daemon.port.Telemetry
 import yuccaferry.decisions.forward.AttemptEnd
 import yuccaferry.decisions.forward.firstEventTimeoutMillis
 import yuccaferry.decisions.forward.mayPassOn
@@ -32,6 +33,7 @@
     private val workTracker: WorkTracker,
     private val memory: MemoryReservations,
     private val notices: TargetNotices,
+    private val telemetry: Telemetry,
     private val request: AdmittedRequest,
     private val placement: Placement,
     figures: EngineFigures,
@@ -259,22 +261,14 @@
     ): HttpResponsePart? {
         // Bytes that complete no event don't extend the time.
         val end = if (waitUntilDeadline) request.deadline else minOf(request.deadline, lastProgress + eventTimeoutMillis())
-        var checkMillis = firstCheckMillis()
+        val check = SilenceCheck(connector, telemetry, request, placement.main, firstCheckMillis())
         while (loop.now() < end) {
-            connection.receive(minOf(end - loop.now(), checkMillis))?.let { return it }
-            if (loop.now() < end && !isReachable()) return HttpResponsePart.Broken("unreachable while silent")
-            checkMillis *= 2
+            connection.receive(minOf(end - loop.now(), check.pauseMillis))?.let { return it }
+            if (loop.now() < end && check.hasFailed()) return connection.receive(0) ?: HttpResponsePart.Broken("unreachable while silent")
         }
         return null
     }
 
-    /** Whether the target accepts a new connection; an open connection to a host that crashed shows no failure. */
-    private suspend fun isReachable(): Boolean {
-        val connection = connector.connect(placement.main.address, CONNECT_MILLIS) ?: return false
-        connection.close()
-        return true
-    }
-
     private fun firstCheckMillis(): Long = REACHABILITY_CHECK_MILLIS + if (isFirst) placement.plan.predictedMillis.toLong() else 0
 
     private fun eventTimeoutMillis(): Long {
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -98,6 +98,7 @@
         workTracker,
         memory,
         notices,
+        telemetry,
         request,
         placement,
         figures,
