--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -2,6 +2,7 @@
 package yuccaferry.gateway.request
 
 import kotlinx.coroutines.withTimeoutOrNull
+import yuccaferry.daemon.port.Telemetry
 import yuccaferry.decisions.forward.AttemptEnd
 import yuccaferry.decisions.forward.firstEventTimeoutMillis
 import yuccaferry.decisions.forward.mayPassOn
@@ -32,6 +33,7 @@
     private val workTracker: WorkTracker,
     private val memory: MemoryReservations,
     private val notices: TargetNotices,
+    private val telemetry: Telemetry,
     private val request: AdmittedRequest,
     private val placement: Placement,
     figures: EngineFigures,
@@ -52,6 +54,9 @@
     /** Number of blocks of events that have arrived. */
     private var blocks = 0
     private val isFirst get() = blocks == 0
+
+    /** Whether an event has arrived; comments are none. */
+    private var hasEvents = false
     private var connection: HttpClientConnection? = null
     private val mainWork: Work
     private val helperWork: List<Work>
@@ -143,21 +148,17 @@
         connection: HttpClientConnection,
         waitUntilDeadline: Boolean,
     ): AttemptEnd {
-        val head =
-            when (val first = receive(connection, waitUntilDeadline)) {
-                is HttpResponsePart.Head -> first
-                is HttpResponsePart.Broken -> return AttemptEnd.Broken(first.reason)
-                is HttpResponsePart.Piece, HttpResponsePart.End -> return AttemptEnd.Broken("expected a response head, found body")
-                null -> return AttemptEnd.TimedOut
+        val answer =
+            when (val own = OwnAnswerReader(format, notices, request, placement.main).read { receive(connection, waitUntilDeadline) }) {
+                is OwnAnswer.Begun -> own
+                is OwnAnswer.None -> return own.end
             }
-        val stated = format.readAnswer(head.status, head.headers)
-        notices.record(placement.main, stated.notice, request.head.id)
+        val stated = answer.stated
         return when {
             stated.hasNotRun -> reject(stated)
-            stated.id != null && stated.id != request.head.id -> AttemptEnd.Broken("answer to another request")
             !stated.isSigned || stated.isEncoded -> AttemptEnd.Broken("answer unsigned or encoded")
-            head.status != STATUS_OK -> collectFailure(connection, head)
-            else -> forwardStream(connection, head, waitUntilDeadline)
+            answer.head.status != STATUS_OK -> collectFailure(connection, answer.head)
+            else -> forwardStream(connection, answer.head, waitUntilDeadline)
         }
     }
 
@@ -201,7 +202,7 @@
         unnumberedBytes += piece.bytes.size
         val events = splitter.add(piece.bytes)
         if (splitter.isTooLong) return AttemptEnd.Broken("event exceeds ${EventSplitter.MAX_EVENT_BYTES} bytes")
-        if (events?.lastId != null) unnumberedBytes = 0
+        if (events?.ids?.any { it != null } == true) unnumberedBytes = 0
         if (unnumberedBytes > EventSplitter.MAX_EVENT_BYTES) return AttemptEnd.Broken("$unnumberedBytes bytes of events without a number")
         return events?.let { forwardEvents(it, head) }
     }
@@ -221,20 +222,23 @@
         }
         if (blocks == BEGUN_BLOCKS) onBegun()
         if (!reply.isStarted) reply.start(head.status, format.returnedHeaders(head.headers))
-        progress.events++
-        progress.lastEvent = events.lastId ?: progress.lastEvent
+        hasEvents = hasEvents || events.ids.isNotEmpty()
+        progress.record(events)
         val taken = withTimeoutOrNull(request.deadline - loop.now()) { reply.write(events.bytes) }
         return if (taken == null) AttemptEnd.TimedOut else null
     }
 
     private fun leavesGap(events: Events): Boolean {
-        val first = events.firstId ?: return false
-        val last = progress.lastEvent ?: return false
+        val last = progress.lastEvent
+        if (last == null || events.ids.isEmpty()) return false
+        // Nothing but its number shows that another target's first event is the next one.
+        val first = events.firstId ?: return !hasEvents
         return first != last + 1
     }
 
     private fun finish(head: HttpResponsePart.Head): AttemptEnd {
         if (splitter.hasPartialEvent) return AttemptEnd.Broken("stream ended within an event")
+        if (!hasEvents && (reply.isStarted || !head.statesLength)) return AttemptEnd.Broken("stream ended before its first event")
         if (!reply.isStarted) reply.start(head.status, format.returnedHeaders(head.headers))
         reply.finish()
         return AttemptEnd.Answered(head.status)
@@ -257,22 +261,14 @@
     ): HttpResponsePart? {
         // Bytes that complete no event don't extend the time.
         val end = if (waitUntilDeadline) request.deadline else minOf(request.deadline, lastProgress + eventTimeoutMillis())
-        var checkMillis = firstCheckMillis()
+        val check = SilenceCheck(connector, telemetry, request, placement.main, firstCheckMillis())
         while (loop.now() < end) {
-            connection.receive(minOf(end - loop.now(), checkMillis))?.let { return it }
-            if (loop.now() < end && !isReachable()) return HttpResponsePart.Broken("unreachable while silent")
-            checkMillis *= 2
+            connection.receive(minOf(end - loop.now(), check.pauseMillis))?.let { return it }
+            if (loop.now() < end && check.hasFailed()) return connection.receive(0) ?: HttpResponsePart.Broken("unreachable while silent")
         }
         return null
     }
 
-    /** Whether the target accepts a new connection; an open connection to a host that crashed shows no failure. */
-    private suspend fun isReachable(): Boolean {
-        val connection = connector.connect(placement.main.address, CONNECT_MILLIS) ?: return false
-        connection.close()
-        return true
-    }
-
     private fun firstCheckMillis(): Long = REACHABILITY_CHECK_MILLIS + if (isFirst) placement.plan.predictedMillis.toLong() else 0
 
     private fun eventTimeoutMillis(): Long {
