Refuse operators' files, admin documents and settings that are nested too deeply

What operators saw: a file of up to a thousand levels overflowed a stack of 256 KB; a deeper one was refused at "line null, column null", without the field. Cause: the syntax check allows 1,000 levels, and the JSON tree is then read with one call per level. Evidence: StrictJsonTest "is refused when it is nested too deeply, also on a small stack" on the code before: StackOverflowError, with 900 levels on a thread with 256 KB. Change: the depth is checked first; the problem names the field and the offset. Result: the test passes.

--- a/model/src/main/kotlin/yuccaferry/model/json/StrictJson.kt
+++ b/model/src/main/kotlin/yuccaferry/model/json/StrictJson.kt
@@ -20,8 +20,8 @@
     serializer: KSerializer<T>,
     text: String,
 ): Result<T, List<Problem>> {
-    val syntax = syntaxProblem(text)
-    if (syntax != null) return Err(listOf(syntax))
+    val malformed = depthProblem(text) ?: syntaxProblem(text)
+    if (malformed != null) return Err(listOf(malformed))
     return try {
         val tree = Json.parseToJsonElement(text)
         val problems = ShapeChecker().check(serializer.descriptor, tree)
--- a/model/src/test/kotlin/yuccaferry/model/json/StrictJsonTest.kt
+++ b/model/src/test/kotlin/yuccaferry/model/json/StrictJsonTest.kt
@@ -62,6 +62,17 @@
             )
         }
 
+        /** Guards against a stack that overflows on a deep file: the syntax check allows a thousand levels. */
+        @Test
+        fun `is refused when it is nested too deeply, also on a small stack`() =
+            onSmallStack {
+                val zones = "[".repeat(900) + "]".repeat(900)
+                assertEquals(
+                    listOf("expected at most 64 levels of nesting but found more at offset 83 at $.zones"),
+                    problemsOf("""{"format":1,"zones":$zones}"""),
+                )
+            }
+
         @Test
         fun `is refused when it is empty`() {
             assertEquals(listOf("expected a JSON document but found nothing at line 1, column 1"), problems<List<Int>>(" "))
