Refuse callers' bodies that are nested too deeply with the field

What callers saw: a completion with 100,000 nested arrays in any field, also in one that this layer ignores, overflowed the stack of the thread that read it; the call ended without the documented refusal. Cause: the JSON tree is read with one call per array level. Change: the depth is checked before decoding; 400 `invalid_request` names the field. Numbers that don't fit, invalid UTF-8, empty bodies and a megabyte were refused or read before, too.

--- a/adapter-http/src/main/kotlin/yuccaferry/http/callers/CompletionRequest.kt
+++ b/adapter-http/src/main/kotlin/yuccaferry/http/callers/CompletionRequest.kt
@@ -19,6 +19,7 @@
 import yuccaferry.daemon.port.Prompt
 import yuccaferry.model.Problem
 import yuccaferry.model.ServiceName
+import yuccaferry.model.json.depthProblem
 
 private const val DEFAULT_MAX_TOKENS = 256
 private const val MOST_MAX_TOKENS = 131_072
@@ -44,8 +45,9 @@
 internal fun readCompletionRequest(
     kind: CompletionKind,
     body: String,
-): Result<CompletionRequest, Problem> =
-    try {
+): Result<CompletionRequest, Problem> {
+    depthProblem(body)?.let { return Err(it) }
+    return try {
         when (val element = Json.parseToJsonElement(body)) {
             is JsonObject -> Ok(CompletionReader(kind, element).read())
             else -> Err(Problem("$", "an object", kindOf(element)))
@@ -55,6 +57,7 @@
     } catch (e: ProblemException) {
         Err(e.problem)
     }
+}
 
 /** Ends nested reads with [problem]; [readCompletionRequest] catches it. */
 private class ProblemException(
