Treat an instance list that is nested too deeply as unreadable

What operators saw: nothing. One deep value in the list overflowed the stack, which ended the poll of the list for good: the daemon went on with the targets of before and said that it was ready. Cause: entries are read as JSON trees, with one call per array level; the poll expects a result and has no catch. Evidence: HttpInstanceListTest "a list that is nested too deeply is an error" on the code before: StackOverflowError out of read(). Change: the list is decoded with the depth limit; the adapter returns its own error and the poll goes on. Result: passes.

--- a/adapter-platform/src/main/kotlin/yuccaferry/platform/HttpInstanceList.kt
+++ b/adapter-platform/src/main/kotlin/yuccaferry/platform/HttpInstanceList.kt
@@ -20,6 +20,7 @@
 import yuccaferry.model.TargetKind
 import yuccaferry.model.TargetState
 import yuccaferry.model.ZoneName
+import yuccaferry.model.json.decodeBounded
 
 private const val STATUS_OK = 200
 
@@ -65,7 +66,7 @@
 private fun parse(answer: ExchangeResult.Answered): Result<List<Target>, InstanceListError> {
     if (answer.status != STATUS_OK) return Err(InstanceListError("expected status 200, found ${answer.status}"))
     return try {
-        val entries = listJson.decodeFromString(InstancesResponse.serializer(), answer.body).instances
+        val entries = listJson.decodeBounded(InstancesResponse.serializer(), answer.body).instances
         Ok(entries.mapNotNull { parseEntry(it) })
     } catch (e: SerializationException) {
         Err(InstanceListError("malformed answer: ${e.message}"))
--- a/adapter-platform/src/test/kotlin/yuccaferry/platform/HttpInstanceListTest.kt
+++ b/adapter-platform/src/test/kotlin/yuccaferry/platform/HttpInstanceListTest.kt
@@ -54,6 +54,13 @@
         assertEquals(listOf(TargetId("c")), read(answer).unwrap().map { it.id })
     }
 
+    /** Guards against a deep entry whose stack overflow ended the poll of the list, so that the view of targets stood still. */
+    @Test
+    fun `a list that is nested too deeply is an error`() {
+        val deep = "[".repeat(100_000) + "]".repeat(100_000)
+        assertTrue(read("""{"instances":[$deep,${instance("a")}]}""").isErr)
+    }
+
     @Test
     fun `a list that can't be read is an error`() {
         assertTrue(read("{}").isErr)
