Read a booking's record that is nested too deeply as unreadable

What callers saw: a call whose key had such a record ended with a stack overflow instead of `outcome_unknown`. Cause: a state whose first field isn't its type is read as a JSON tree, with one call per array level. Evidence: OutsideBytesTest "a booking with a deep state" on the code before: StackOverflowError. The other decoders of the module (configuration, control records) are shown to be safe by the same class: unknown fields are skipped without recursion. Change: the record is decoded with the depth limit. Result: passes.

--- a/daemon/src/main/kotlin/yuccaferry/daemon/ledger/RecordCodec.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/ledger/RecordCodec.kt
@@ -16,6 +16,7 @@
 import yuccaferry.decisions.ledger.StoredAnswer
 import yuccaferry.model.AttemptId
 import yuccaferry.model.DaemonId
+import yuccaferry.model.json.decodeBounded
 import java.util.Base64
 
 private val recordJson =
@@ -94,7 +95,7 @@
 /** Decodes a record; null when [value] is not one. */
 internal fun decodeRecord(value: String): BookingRecord? =
     try {
-        val read = recordJson.decodeFromString(RecordValue.serializer(), value)
+        val read = recordJson.decodeBounded(RecordValue.serializer(), value)
         BookingRecord(
             attempt = AttemptId(read.attempt),
             fingerprint = Fingerprint(read.fingerprint),
