Record an unknown outcome when an error ends a booking's dispatch

What callers saw: an Error in the dispatch (lack of memory, a class that can't be loaded) came out of the ledger instead of a refusal, and the record stayed claimed for good, so that later calls with the key waited for an outcome that never came. Cause: the dispatch was guarded against exceptions only. Evidence: BookingLedgerTest "has an unknown outcome recorded after an error in the dispatch" on the code before: NoClassDefFoundError out of run(). Change: whatever ends the dispatch, but the cancellation of the daemon, is a failed dispatch whose call may have run. Result: passes; the caller hears `target_failed`, execution unknown.

--- a/daemon/src/main/kotlin/yuccaferry/daemon/ledger/BookingLedger.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/ledger/BookingLedger.kt
@@ -210,7 +210,8 @@
             // A timeout inside the dispatch fails only the dispatch; cancellation of this daemon's scope is rethrown.
             currentCoroutineContext().ensureActive()
             DispatchOutcome.Failed(TargetError.TimedOut("the dispatch was cancelled: $e"))
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
+            // The call may have run, also when an Error ended the dispatch, so that has to be recorded.
             DispatchOutcome.Failed(TargetError.Broken("the dispatch failed: $e"))
         }
 
--- a/daemon/src/test/kotlin/yuccaferry/daemon/ledger/BookingLedgerTest.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/ledger/BookingLedgerTest.kt
@@ -68,6 +68,17 @@
                 assertIs<BookingState.Answered>(fleet.record().state)
             }
 
+        /** Guards against an error in the dispatch that left the caller without an answer and the record claimed for good. */
+        @Test
+        fun `has an unknown outcome recorded after an error in the dispatch`() =
+            inFleet { fleet ->
+                val daemon = fleet.daemon()
+                val result = daemon.book(fleet) { throw NoClassDefFoundError("decoder") }
+                assertEquals("TARGET_FAILED UNKNOWN", result.codeAndExecution())
+                daemon.ledger.drain()
+                assertIs<BookingState.Unknown>(fleet.record().state)
+            }
+
         @Test
         fun `is answered by its deadline and recorded later`() =
             inFleet { fleet ->
