Take the cancellation of a connection for a broken exchange

What callers saw: when the HTTP client cancelled a connection, the call to the target threw a CancellationException as if the caller had left: the request ended without an answer, and after a cancel of an engine's work the grant wasn't released. Cause: `exchange` rethrew every CancellationException; a timeout inside the client is one as well. Evidence: HttpExchangeTest "a connection that is cancelled is a broken exchange" on the code before: CancellationException: connection closed. That the client throws one on this path was seen for the key-value service only (PlatformHttpClient handles it so). Change: only the cancellation of the caller's own coroutine is rethrown. Result: passes. EngineBytesTest shows that invalid events of an engine throw nothing, at any depth; it passed before as well.

--- a/adapter-target/src/main/kotlin/yuccaferry/target/HttpExchange.kt
+++ b/adapter-target/src/main/kotlin/yuccaferry/target/HttpExchange.kt
@@ -16,6 +16,8 @@
 import io.ktor.client.statement.bodyAsText
 import io.ktor.http.isSuccess
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -58,7 +60,9 @@
     try {
         withTimeoutOrNull(timeoutMillis) { exchange() } ?: Err(TargetError.TimedOut("no answer in $timeoutMillis ms"))
     } catch (e: CancellationException) {
-        throw e
+        // Rethrows if the caller was cancelled. Otherwise only the connection was.
+        currentCoroutineContext().ensureActive()
+        Err(targetError(e))
     } catch (e: Exception) {
         Err(targetError(e))
     }
