Answer unusable values of other daemons with the layer's own error

What operators saw: nothing. A record with an invalid peer address threw in each daemon that read it; in the poll of the configuration, which asks peers while the key-value service is away, that ended the poll for good. A denial of a kind that this release doesn't know ended the caller's request. Cause: the channel's builder throws IllegalArgumentException; the ordinal was used as an index. Evidence: PeerBytesTest on the code before: "Expected authority at index 2: //" and "index: 99, size: 4". Change: such an address is an unreachable peer; such a denial counts as one by an unavailable target.

--- a/adapter-peer/src/main/kotlin/yuccaferry/peer/GrantWire.kt
+++ b/adapter-peer/src/main/kotlin/yuccaferry/peer/GrantWire.kt
@@ -123,7 +123,7 @@
     val state = summary?.toDomain()
     return when {
         kind == GRANTED && state != null -> GrantAnswer.Granted(version, Epoch(epoch), queuedMillis, state)
-        kind == DENIED && state != null -> GrantAnswer.Denied(version, Denial.entries[denial], state)
+        kind == DENIED && state != null -> GrantAnswer.Denied(version, Denial.entries.getOrElse(denial) { Denial.UNAVAILABLE }, state)
         else -> GrantAnswer.NotDeciding(version)
     }
 }
--- a/adapter-peer/src/main/kotlin/yuccaferry/peer/PeerChannels.kt
+++ b/adapter-peer/src/main/kotlin/yuccaferry/peer/PeerChannels.kt
@@ -32,6 +32,9 @@
             Ok(ClientCalls.unaryRpc(channel(peer), method, request, options))
         } catch (e: StatusException) {
             Err(peerError(e.status))
+        } catch (e: IllegalArgumentException) {
+            // Thrown for an address that is none; a record in the store or a peer may name one.
+            Err(PeerError.Unreachable("expected an address, found ${peer.value}: ${e.message}"))
         }
     }
 
