Answer operators' calls that end in an error or a timeout

What operators saw: an empty answer, when an Error or a timeout ended the handler. Cause: only exceptions were answered, and a timeout is a CancellationException, which was rethrown as if the caller had left. Evidence: AdminModuleTest "that ends in an error or a timeout of its own is answered as internal" on the code before: an empty body. Change: all but the cancellation of the call is answered as `internal`.

--- a/adapter-http/src/main/kotlin/yuccaferry/http/admin/AdminCalls.kt
+++ b/adapter-http/src/main/kotlin/yuccaferry/http/admin/AdminCalls.kt
@@ -10,7 +10,8 @@
 import io.ktor.server.routing.RoutingContext
 import io.ktor.server.routing.RoutingHandler
 import io.ktor.utils.io.readRemaining
-import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.io.readByteArray
 import yuccaferry.model.admin.AdminError
 import yuccaferry.model.admin.AdminErrorCode
@@ -42,11 +43,11 @@
             val operator = if (header.startsWith(BEARER)) operators.operatorOf(header.substring(BEARER.length).trim()) else null
             if (operator == null) fail(AdminErrorCode.UNAUTHORISED, "the Authorization header has no valid operator's token")
             handler(operator)
-        } catch (e: CancellationException) {
-            throw e
         } catch (e: AdminException) {
             call.answerError(e.error)
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
+            // A timeout inside the handler is a CancellationException too; only the cancellation of the call is rethrown.
+            currentCoroutineContext().ensureActive()
             call.answerError(AdminError(AdminErrorCode.INTERNAL, "${e::class.simpleName}: ${e.message}"))
         }
     }
--- a/adapter-http/src/test/kotlin/yuccaferry/http/admin/AdminModuleTest.kt
+++ b/adapter-http/src/test/kotlin/yuccaferry/http/admin/AdminModuleTest.kt
@@ -5,7 +5,9 @@
 import com.github.michaelbull.result.Result
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.netty.Netty
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.json.JsonPrimitive
 import org.junit.jupiter.api.Nested
 import yuccaferry.daemon.admin.ConfigurationOperations
@@ -126,6 +128,24 @@
             assertEquals("", operations.last)
         }
 
+        @Test
+        fun `with a file that is nested too deeply is refused with the field`() {
+            val zones = "[".repeat(100_000) + "]".repeat(100_000)
+            val answer = call("POST", "/v1/configuration?base=3", """{"format":1,"zones":$zones}""")
+            assertEquals(422, answer.statusCode())
+            assertContains(answer.body(), """"path":"$.zones","expected":"at most 64 levels of nesting""")
+            assertEquals("", operations.last)
+        }
+
+        /** Guards against operators' calls that end without a document: only exceptions were answered. */
+        @Test
+        fun `that ends in an error or a timeout of its own is answered as internal`() {
+            operations.failure = { throw StackOverflowError() }
+            assertContains(call("POST", "/v1/zones/a/in").body(), "\"code\":\"internal\"")
+            operations.failure = { withTimeout(1) { awaitCancellation() } }
+            assertContains(call("POST", "/v1/zones/a/in").body(), "\"code\":\"internal\"")
+        }
+
         @Test
         fun `without a base version is refused`() {
             assertEquals(400, call("POST", "/v1/configuration", FILE).statusCode())
@@ -143,6 +163,7 @@
     ConfigurationOperations,
     DaemonOperations {
     var outcome: Result<ChangeAnswer, ChangeError> = Ok(ChangeAnswer(ConfigurationVersion(1), ChangeState.ACCEPTED))
+    var failure: suspend () -> Unit = {}
     var last = ""
     var drains = 0
 
@@ -158,7 +179,10 @@
         zone: ZoneName,
         out: Boolean,
         author: ChangeAuthor,
-    ) = outcome.also { last = "zone $zone out=$out ${author.operator} ${author.attempt}" }
+    ) = outcome.also {
+        failure()
+        last = "zone $zone out=$out ${author.operator} ${author.attempt}"
+    }
 
     override fun diff(file: OperatorFile) = FileDiff(ConfigurationVersion(1), emptyList())
 
