--- a/ctl/src/main/kotlin/yuccaferry/ctl/AdminClient.kt
+++ b/ctl/src/main/kotlin/yuccaferry/ctl/AdminClient.kt
@@ -27,6 +27,7 @@
 import yuccaferry.model.admin.AdminErrorCode
 import yuccaferry.model.admin.AdminJson
 import yuccaferry.model.admin.ErrorAnswer
+import yuccaferry.model.json.decodeBounded
 import java.io.IOException
 import java.net.ConnectException
 import java.nio.channels.UnresolvedAddressException
@@ -114,7 +115,7 @@
         if (response.status.isSuccess()) return Ok(text)
         val error =
             try {
-                AdminJson.decodeFromString<ErrorAnswer>(text).error
+                AdminJson.decodeBounded<ErrorAnswer>(text).error
             } catch (e: SerializationException) {
                 AdminError(AdminErrorCode.INTERNAL, "the daemon answered ${response.status}")
             }
@@ -127,7 +128,7 @@
 internal inline fun <reified T> Result<String, CallError>.decode(): Result<T, CallError> =
     flatMap { text ->
         try {
-            Ok(AdminJson.decodeFromString<T>(text))
+            Ok(AdminJson.decodeBounded<T>(text))
         } catch (e: SerializationException) {
             Err(CallError.Lost("the answer can't be decoded: ${e.message}"))
         }
