Answer the control of shards for each call, whatever ends it

What operators saw: an Error or a timeout inside one call to the key-value service left the control waiting for its answer: the lease wasn't renewed again and the daemon lost its shards, without a log line of the control. A hand-over whose grants couldn't be imported left the shard without a decider. Cause: calls were guarded against exceptions only; a timeout is a CancellationException and was rethrown; import and recovery weren't guarded. Change: only the cancellation of the control's own coroutine is rethrown; import and recovery are guarded, since engines list what they hold.

--- a/daemon/src/main/kotlin/yuccaferry/daemon/control/ShardController.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/control/ShardController.kt
@@ -6,11 +6,12 @@
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.mapBoth
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.daemon.port.Clock
@@ -154,14 +155,14 @@
         when (call) {
             is GrantsCall.Import -> {
                 run {
-                    pendingHandOvers.remove(call.token)?.let { shardGrants.import(call.shard, call.epoch, it.request.grants) }
+                    pendingHandOvers.remove(call.token)?.let { guarded { shardGrants.import(call.shard, call.epoch, it.request.grants) } }
                     handle(ShardEvent.GrantsReady(call.shard, call.epoch))
                 }
             }
 
             is GrantsCall.Recover -> {
                 run {
-                    shardGrants.recover(call.shard, call.epoch)
+                    guarded { shardGrants.recover(call.shard, call.epoch) }
                     handle(ShardEvent.GrantsReady(call.shard, call.epoch))
                 }
             }
@@ -213,9 +214,9 @@
     private suspend fun <T : Any> guarded(action: suspend () -> T): T? =
         try {
             action()
-        } catch (e: CancellationException) {
-            throw e
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
+            // A timeout inside the call is a CancellationException too; only the cancellation of this coroutine is rethrown.
+            currentCoroutineContext().ensureActive()
             telemetry.event("control_call_failed", Field("error", e), severity = Severity.ERROR)
             null
         }
--- a/daemon/src/test/kotlin/yuccaferry/daemon/control/ControlFleet.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/control/ControlFleet.kt
@@ -40,6 +40,17 @@
     lateinit var control: ShardController
     lateinit var job: Job
     override var version = ConfigurationVersion(1)
+        get() =
+            nextFailure?.let { failure ->
+                nextFailure = null
+                throw failure
+            } ?: field
+
+    /** Thrown by the next read of [version]. */
+    var nextFailure: Throwable? = null
+
+    /** Thrown whenever grants are imported or recovered. */
+    var grantsFailure: Throwable? = null
     val table get() = control.table
 
     override suspend fun export(shard: ShardId) = "from $id".encodeToByteArray()
@@ -49,6 +60,7 @@
         epoch: Epoch,
         grants: ByteArray,
     ) {
+        grantsFailure?.let { throw it }
         log += "import $shard $epoch ${grants.decodeToString()}"
     }
 
@@ -56,6 +68,7 @@
         shard: ShardId,
         epoch: Epoch,
     ) {
+        grantsFailure?.let { throw it }
         log += "recover $shard $epoch deciding=${table.mayDecide(shard)}"
     }
 
--- a/daemon/src/test/kotlin/yuccaferry/daemon/control/LeasedStore.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/control/LeasedStore.kt
@@ -29,6 +29,9 @@
     var unavailable = false
     var loseAnswers = false
 
+    /** Called once by the next call to the store; for failures that no store answers with. */
+    var nextFailure: (suspend () -> Unit)? = null
+
     /** Bytes of keys and values in answers to reads, in the JSON gateway's base64 and without its framing. */
     var readBytes = 0L
 
@@ -83,6 +86,10 @@
 
     private suspend fun <T> call(action: () -> T): Result<T, StoreError> {
         delay(1)
+        nextFailure?.let {
+            nextFailure = null
+            it()
+        }
         if (unavailable) return Err(StoreError.NotApplied("unavailable"))
         leases.filterValues { it.until <= clock.now() }.keys.forEach(::end)
         val result = action()
--- a/daemon/src/test/kotlin/yuccaferry/daemon/control/ShardControllerTest.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/control/ShardControllerTest.kt
@@ -2,10 +2,12 @@
 package yuccaferry.daemon.control
 
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.advanceTimeBy
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Nested
 import yuccaferry.decisions.shards.ShardId
 import yuccaferry.decisions.shards.ShardSettings
@@ -143,6 +145,45 @@
             }
     }
 
+    /** Guards against a control that waits forever for the answer of a call that ended with no answer. */
+    @Nested
+    inner class `a daemon keeps its lease and its shards` {
+        private fun after(fail: (ControlFleet, ControlledDaemon) -> Unit) =
+            control { fleet ->
+                val a = fleet.start("a")
+                advanceTimeBy(6_000)
+                repeat(10) {
+                    fail(fleet, a)
+                    advanceTimeBy(1_000)
+                }
+                advanceTimeBy(60_000)
+                assertEquals(8, a.table.heldShards().size)
+                assertTrue(a.table.confirmed)
+            }
+
+        @Test
+        fun `after errors in calls to the store`() = after { fleet, _ -> fleet.store.nextFailure = { throw StackOverflowError() } }
+
+        @Test
+        fun `after timeouts inside calls to the store`() =
+            after { fleet, _ -> fleet.store.nextFailure = { withTimeout(1) { awaitCancellation() } } }
+    }
+
+    @Nested
+    inner class `shards whose grants can't be read` {
+        @Test
+        fun `are decided by their new holder after a hand-over`() =
+            control { fleet ->
+                fleet.start("a")
+                advanceTimeBy(5_000)
+                val b = fleet.start("b")
+                b.grantsFailure = StackOverflowError()
+                advanceTimeBy(60_000)
+                assertTrue(b.table.heldShards().isNotEmpty())
+                assertTrue(fleet.deciders().all { it.size == 1 }, "${fleet.deciders()}")
+            }
+    }
+
     @Test
     fun `an epoch older than the newest learnt one is not current`() =
         control { fleet ->
