Run the daemon's periodic tasks again whatever ends a round, and say so in its readiness

What operators saw: nothing but one line on standard error. An Error or a timeout inside one round ended a task for good: the poll of the configuration or of the instance list, the rounds of the control of shards, the expiry of grants, the observation of engines. The daemon kept its old view and went on saying that it was ready. Cause: each task was a coroutine with a loop of its own and no catch; readiness asked only whether the view had ever been read. Change: PeriodicTasks runs all of them. Only the cancellation of a task's own coroutine ends it; a failed round is logged as `task_failed`, and readiness names the tasks that fail or that have ended no round for 30 s. Observation and sharing don't count for it: input that breaks them would take every daemon out. Calls of the sharing run in the daemon's scope, where one that fails can't end it. Changed tests: ControlFleet and ConfigurationRaceTest pass PeriodicTasks to `start`; the race fails on any `task_failed`, as an exception of a poll failed it before.

--- a/app/src/main/kotlin/yuccaferry/app/Daemon.kt
+++ b/app/src/main/kotlin/yuccaferry/app/Daemon.kt
@@ -6,7 +6,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.daemon.admin.DaemonLocation
 import yuccaferry.daemon.admin.DaemonView
@@ -40,6 +39,7 @@
 import yuccaferry.daemon.request.LengthBasedCostEstimator
 import yuccaferry.daemon.request.PlainCallService
 import yuccaferry.daemon.targets.TargetDirectory
+import yuccaferry.daemon.tasks.PeriodicTasks
 import yuccaferry.decisions.configuration.Member
 import yuccaferry.decisions.grants.TargetSummary
 import yuccaferry.decisions.placement.PlacementPolicy
@@ -84,6 +84,7 @@
     private val clock = Clock { MonotonicTime(System.nanoTime() / NANOS_PER_MILLI) }
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val telemetry = DaemonTelemetry(settings.name, settings.traces.otlpUrl?.let { otlpExporter(it) })
+    private val tasks = PeriodicTasks(scope, clock, telemetry)
     private val store = EtcdKeyValueStore(settings.platform.keyValue, settings.platform.timeoutMillis, storeCalls())
     private val channels = PeerChannels()
     private val targetClient = targetHttpClient()
@@ -167,6 +168,7 @@
             directory = directory,
             targetLoads = targetLoads,
             costs = { emptyList() },
+            failingTasks = tasks::failing,
             startDrain = onDrain,
             clock = clock,
             telemetry = telemetry,
@@ -184,12 +186,12 @@
         adminServer = startServer(settings.admin) { adminModule(changes, view, OperatorTokens(settings.operators), telemetry::scrape) }
         replica.refresh()
         directory.refresh()
-        replica.start(scope)
-        directory.start(scope)
+        replica.start(tasks)
+        directory.start(tasks)
         join()
-        observer.start(scope)
-        sharing.start(scope)
-        scope.launch { tickForever() }
+        observer.start(tasks)
+        sharing.start(scope, tasks)
+        startExpiry()
         callersServer = startServer(settings.callers) { callersApi.install(this) }
         announce("admin", settings.admin.host, portOf(adminServer))
         announce("peers", settings.peers.host, peerServer.port)
@@ -221,7 +223,7 @@
             )
         control = controller
         peerServer.add(shardPeerService(scope, controller))
-        controller.start(scope)
+        controller.start(scope, tasks)
     }
 
     /**
@@ -251,12 +253,11 @@
         telemetry.close()
     }
 
-    private suspend fun tickForever() {
-        while (true) {
+    private fun startExpiry() =
+        tasks.start("expiry") {
             decider.tick()
-            delay(TICK_MILLIS)
+            TICK_MILLIS
         }
-    }
 
     private fun membership(): Membership {
         val joined = shardTable.members.filter { it.id != id }.map { Member(it.peer, it.region) }
--- a/daemon/src/main/kotlin/yuccaferry/daemon/admin/DaemonView.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/admin/DaemonView.kt
@@ -41,6 +41,7 @@
     private val directory: TargetDirectory,
     private val targetLoads: TargetLoads,
     private val costs: () -> List<ControlCost>,
+    private val failingTasks: () -> List<String>,
     private val startDrain: () -> Unit,
     private val clock: Clock,
     private val telemetry: Telemetry,
@@ -50,6 +51,7 @@
         if (admission.isDraining) reasons += "this daemon is leaving"
         if (!replica.settled.value) reasons += "the newest configuration is not known yet"
         if (replica.current.version.value == 0L) reasons += "no configuration has been applied"
+        failingTasks().forEach { reasons += "the task $it has failed or stalled" }
         return Readiness(reasons.isEmpty(), reasons)
     }
 
--- a/daemon/src/main/kotlin/yuccaferry/daemon/configuration/ConfigurationReplica.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/configuration/ConfigurationReplica.kt
@@ -9,18 +9,15 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.mapBoth
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.coroutines.flow.getAndUpdate
 import kotlinx.coroutines.flow.update
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import yuccaferry.daemon.port.Clock
@@ -30,6 +27,7 @@
 import yuccaferry.daemon.port.KeyValueStore
 import yuccaferry.daemon.port.Severity
 import yuccaferry.daemon.port.Telemetry
+import yuccaferry.daemon.tasks.PeriodicTasks
 import yuccaferry.decisions.configuration.ChangeAuthor
 import yuccaferry.decisions.configuration.answersToStart
 import yuccaferry.decisions.configuration.applyFile
@@ -98,13 +96,11 @@
     /** Whether [current] is reliable; until then this daemon may lack an accepted version and must not serve requests. */
     val settled: StateFlow<Boolean> = settledState.asStateFlow()
 
-    /** Polls the head record in [scope] until the job is cancelled. */
-    fun start(scope: CoroutineScope): Job =
-        scope.launch {
-            while (true) {
-                refresh()
-                delay((settings.pollMillis * (1 - POLL_JITTER * random.nextDouble())).toLong())
-            }
+    /** Polls the head record as one of [tasks] until the job is cancelled. */
+    fun start(tasks: PeriodicTasks): Job =
+        tasks.start("configuration") {
+            refresh()
+            (settings.pollMillis * (1 - POLL_JITTER * random.nextDouble())).toLong()
         }
 
     /** Reads the head record once; asks other daemons if that fails. Returns whether the record confirmed [current]. */
--- a/daemon/src/main/kotlin/yuccaferry/daemon/control/ShardController.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/control/ShardController.kt
@@ -10,7 +10,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.currentCoroutineContext
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -22,6 +21,7 @@
 import yuccaferry.daemon.port.ShardPeerHandler
 import yuccaferry.daemon.port.ShardPeers
 import yuccaferry.daemon.port.Telemetry
+import yuccaferry.daemon.tasks.PeriodicTasks
 import yuccaferry.decisions.shards.DaemonRecord
 import yuccaferry.decisions.shards.GrantsCall
 import yuccaferry.decisions.shards.HandOverAnswer
@@ -67,15 +67,16 @@
     /** Shards and membership for the rest of the daemon. */
     val table: ShardTable get() = published
 
-    /** Joins the fleet and keeps this daemon's shards; its calls run in [scope] until the returned job is cancelled. */
-    fun start(scope: CoroutineScope): Job {
+    /** Joins the fleet and keeps this daemon's shards as one of [tasks] until the returned job is cancelled; its calls run in [scope]. */
+    fun start(
+        scope: CoroutineScope,
+        tasks: PeriodicTasks,
+    ): Job {
         this.scope = scope
         registerGauges()
-        return scope.launch {
-            while (true) {
-                handle(ShardEvent.Tick)
-                delay(TICK_MILLIS)
-            }
+        return tasks.start("shards") {
+            handle(ShardEvent.Tick)
+            TICK_MILLIS
         }
     }
 
--- a/daemon/src/main/kotlin/yuccaferry/daemon/grants/SummarySharing.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/grants/SummarySharing.kt
@@ -6,10 +6,10 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import yuccaferry.daemon.control.ShardTable
 import yuccaferry.daemon.port.GrantPeers
+import yuccaferry.daemon.tasks.PeriodicTasks
 import yuccaferry.decisions.grants.TargetSummary
 import yuccaferry.model.Address
 import yuccaferry.model.TargetId
@@ -25,15 +25,16 @@
 ) {
     private var lastSent = mapOf<TargetId, TargetSummary>()
 
-    /** Sends in [scope] until the job is cancelled. */
-    fun start(scope: CoroutineScope): Job =
-        scope.launch {
-            while (true) {
-                targetLoads.sync()
-                val others = others()
-                share(this, others.map { it.peer })
-                delay(maxOf(intervalMillis, others.size * millisPerPeer))
-            }
+    /** Sends as one of [tasks] until the job is cancelled; the calls run in [scope], so that a slow daemon delays no others. */
+    fun start(
+        scope: CoroutineScope,
+        tasks: PeriodicTasks,
+    ): Job =
+        tasks.start("sharing", isRequired = false) {
+            targetLoads.sync()
+            val others = others()
+            share(scope, others.map { it.peer })
+            maxOf(intervalMillis, others.size * millisPerPeer)
         }
 
     private fun others() =
--- a/daemon/src/main/kotlin/yuccaferry/daemon/grants/TargetObserver.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/grants/TargetObserver.kt
@@ -5,15 +5,14 @@
 package yuccaferry.daemon.grants
 
 import com.github.michaelbull.result.get
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import yuccaferry.daemon.port.Clock
 import yuccaferry.daemon.port.EngineClient
 import yuccaferry.daemon.port.HeldKind
 import yuccaferry.daemon.port.HeldWork
+import yuccaferry.daemon.tasks.PeriodicTasks
 import yuccaferry.decisions.grants.Observation
 import yuccaferry.decisions.grants.ObservedWork
 import yuccaferry.model.RequestId
@@ -28,14 +27,12 @@
     private val clock: Clock,
     private val intervalMillis: Long = 500,
 ) {
-    /** Observes in [scope] until the job is cancelled. */
-    fun start(scope: CoroutineScope): Job =
-        scope.launch {
-            while (true) {
-                val engines = decider.decidedTargets().filter { it.kind == TargetKind.ENGINE }
-                engines.map { launch { observe(it) } }.joinAll()
-                delay(intervalMillis)
-            }
+    /** Observes as one of [tasks] until the job is cancelled. */
+    fun start(tasks: PeriodicTasks): Job =
+        tasks.start("observation", isRequired = false) {
+            val engines = decider.decidedTargets().filter { it.kind == TargetKind.ENGINE }
+            engines.map { launch { observe(it) } }.joinAll()
+            intervalMillis
         }
 
     /** Observes [target] once. */
--- a/daemon/src/main/kotlin/yuccaferry/daemon/targets/TargetDirectory.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/targets/TargetDirectory.kt
@@ -3,14 +3,12 @@
 
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.InstanceList
 import yuccaferry.daemon.port.Severity
 import yuccaferry.daemon.port.Telemetry
+import yuccaferry.daemon.tasks.PeriodicTasks
 import yuccaferry.decisions.grants.TargetLimits
 import yuccaferry.model.AccountEntry
 import yuccaferry.model.Configuration
@@ -38,13 +36,11 @@
     /** The target [id]; null when it is not in the list. */
     fun find(id: TargetId): Target? = byId[id]
 
-    /** Polls the list in [scope] until the returned job is cancelled. */
-    fun start(scope: CoroutineScope): Job =
-        scope.launch {
-            while (true) {
-                refresh()
-                delay(pollMillis)
-            }
+    /** Polls the list as one of [tasks] until the returned job is cancelled. */
+    fun start(tasks: PeriodicTasks): Job =
+        tasks.start("instances") {
+            refresh()
+            pollMillis
         }
 
     /** Reads the list once. */
--- a/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationRaceTest.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/configuration/ConfigurationRaceTest.kt
@@ -22,7 +22,11 @@
 import kotlinx.coroutines.test.runTest
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
+import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.NoTelemetry
+import yuccaferry.daemon.port.Severity
+import yuccaferry.daemon.port.Telemetry
+import yuccaferry.daemon.tasks.PeriodicTasks
 import yuccaferry.model.AttemptId
 import yuccaferry.model.Configuration
 import yuccaferry.model.ConfigurationVersion
@@ -70,10 +74,12 @@
     private val replicas = members.map { replica(it.address.value) }
     private val requested = mutableListOf<RequestedChange>()
     private val versionDecreases = mutableListOf<String>()
+    private val failures = mutableListOf<String>()
 
     suspend fun run() {
         store.nextLostWrite = { if (random.nextDouble() < LOST_WRITE_PROBABILITY) LostWrite.entries.random(random) else null }
-        val polls = replicas.map { it.start(scope) }
+        val tasks = PeriodicTasks(scope, { MonotonicTime(scope.currentTime) }, TaskFailures(failures))
+        val polls = replicas.map { it.start(tasks) }
         val background = listOf(scope.launch { injectFaults() }, scope.launch { watchVersions() })
         List(OPERATORS) { n -> scope.launch { operate(n) } }.joinAll()
         background.forEach { it.cancelAndJoin() }
@@ -84,6 +90,7 @@
         val records = store.written.map { checkNotNull(ConfigurationCodec.decode(it.value)) }
         assertEquals((1L..records.size).toList(), records.map { it.version.value }, "versions in the order of writes")
         assertEquals(emptyList(), versionDecreases)
+        assertEquals(emptyList(), failures, "a poll failed")
         val made = records.associateBy { it.attempt }
         assertEquals(records.size, made.size, "a change was made twice")
         requested.forEach { checkAnswer(it, made[it.attempt]) }
@@ -185,6 +192,19 @@
     }
 }
 
+/** Adds a line to [failures] for each round of a task that failed. */
+private class TaskFailures(
+    private val failures: MutableList<String>,
+) : Telemetry by NoTelemetry {
+    override fun event(
+        name: String,
+        vararg fields: Field,
+        severity: Severity,
+    ) {
+        if (name == "task_failed") failures += fields.joinToString()
+    }
+}
+
 private fun weightOf(configuration: Configuration) =
     configuration.file.accounts
         .single()
--- a/daemon/src/test/kotlin/yuccaferry/daemon/control/ControlFleet.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/control/ControlFleet.kt
@@ -14,6 +14,7 @@
 import yuccaferry.daemon.port.ShardPeerHandler
 import yuccaferry.daemon.port.ShardPeers
 import yuccaferry.daemon.port.Telemetry
+import yuccaferry.daemon.tasks.PeriodicTasks
 import yuccaferry.decisions.shards.DaemonRecord
 import yuccaferry.decisions.shards.HandOverRequest
 import yuccaferry.decisions.shards.LeaseExtensionRequest
@@ -100,7 +101,7 @@
         val record = DaemonRecord(DaemonId(id), Session(0), id, attica, ZoneName("attica-a"), address, address)
         daemon.control = ShardController(record, settings, store, this, daemon, daemon, clock, CountingTelemetry(daemon.counts))
         daemons[address] = daemon
-        daemon.job = daemon.control.start(scope)
+        daemon.job = daemon.control.start(scope, PeriodicTasks(scope, clock, NoTelemetry))
         return daemon
     }
 
--- a/daemon/src/test/kotlin/yuccaferry/daemon/control/ShardControllerTest.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/control/ShardControllerTest.kt
@@ -167,6 +167,9 @@
         @Test
         fun `after timeouts inside calls to the store`() =
             after { fleet, _ -> fleet.store.nextFailure = { withTimeout(1) { awaitCancellation() } } }
+
+        @Test
+        fun `after errors in its own rounds`() = after { _, a -> a.nextFailure = StackOverflowError() }
     }
 
     @Nested
