Count a dead daemon's grace time from the loss of its record

Cause: a sum of waits that depends on which daemon decides over the engine, and on phases of reads. With the times of the test: the lease (up to 3 s), the full read that misses the record (up to 3 s), and the grace time (2 s). If the dead daemon decided over the engine, a second read at least 4 s after the first and the grant window (2 s) come between; the grace time began only when an item of that owner was first seen at an engine under this daemon's decision, so it came on top of the takeover if no other engine had shown one: 14 s before ticks and polls. Evidence: OrphanCollectorTest "the grace time runs while the shards of the dead daemon are taken over" on the code before, without the call that it lacked: expected <[q]> but was <[]>. Change: each round of the observation records which members are missing, whether or not this daemon decides over a target. A missing daemon is forgotten after an hour. Result: the test passes. The worst case of the sum falls by the grace time: 2 s here, 10 s with the default settings.

--- a/daemon/src/main/kotlin/yuccaferry/daemon/grants/OrphanCollector.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/grants/OrphanCollector.kt
@@ -18,6 +18,9 @@
 import yuccaferry.model.RequestId
 import yuccaferry.model.Target
 
+/** Milliseconds after which a missing daemon is forgotten: an hour, above the grace time and the deadlines of requests. */
+private const val FORGET_MILLIS = 3_600_000L
+
 /** Cancels work of daemons that have been without a record for [graceMillis]; used by one coroutine at a time per target. */
 class OrphanCollector(
     private val shardTable: () -> ShardTable,
@@ -27,6 +30,16 @@
     private val graceMillis: Long = 10_000,
 ) {
     private val missingSince = mutableMapOf<DaemonId, MonotonicTime>()
+    private var known = emptySet<DaemonId>()
+
+    /**
+     * Records which daemons have lost their record. Called also while this daemon decides over no target, so that the grace
+     * time of a dead daemon runs while its shards are taken over.
+     */
+    fun recordMembers() {
+        val table = shardTable()
+        synchronized(missingSince) { recordMissing(table) }
+    }
 
     /** Frees the orphaned items of [held], which lists everything that [target] holds. */
     suspend fun collect(
@@ -44,14 +57,22 @@
         table: ShardTable,
     ): Set<DaemonId> =
         synchronized(missingSince) {
-            val now = clock.now()
-            val members = table.members.map { it.id }.toSet() + table.self
-            missingSince.keys.removeAll { it in members }
-            val missing = owners - members
+            val now = recordMissing(table)
+            val missing = owners - known
             missing.forEach { missingSince.putIfAbsent(it, now) }
             missing.filter { now - missingSince.getValue(it) >= graceMillis }.toSet()
         }
 
+    /** Updates the known members and the times since which others are missing; returns the time of the update. */
+    private fun recordMissing(table: ShardTable): MonotonicTime {
+        val now = clock.now()
+        val members = table.members.map { it.id }.toSet() + table.self
+        (known - members).forEach { missingSince.putIfAbsent(it, now) }
+        known = members
+        missingSince.entries.removeAll { (id, since) -> id in members || now - since > FORGET_MILLIS }
+        return now
+    }
+
     private suspend fun free(
         target: Target,
         item: HeldItem,
--- a/daemon/src/main/kotlin/yuccaferry/daemon/grants/TargetObserver.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/grants/TargetObserver.kt
@@ -30,6 +30,7 @@
     /** Observes as one of [tasks] until the job is cancelled. */
     fun start(tasks: PeriodicTasks): Job =
         tasks.start("observation", isRequired = false) {
+            orphans.recordMembers()
             val engines = decider.decidedTargets().filter { it.kind == TargetKind.ENGINE }
             engines.map { launch { observe(it) } }.joinAll()
             intervalMillis
