--- a/daemon/src/main/kotlin/yuccaferry/daemon/control/ShardController.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/control/ShardController.kt
@@ -6,11 +6,11 @@
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.mapBoth
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.delay
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.daemon.port.Clock
@@ -21,6 +21,7 @@
 import yuccaferry.daemon.port.ShardPeerHandler
 import yuccaferry.daemon.port.ShardPeers
 import yuccaferry.daemon.port.Telemetry
+import yuccaferry.daemon.tasks.PeriodicTasks
 import yuccaferry.decisions.shards.DaemonRecord
 import yuccaferry.decisions.shards.GrantsCall
 import yuccaferry.decisions.shards.HandOverAnswer
@@ -66,15 +67,16 @@
     /** Shards and membership for the rest of the daemon. */
     val table: ShardTable get() = published
 
-    /** Joins the fleet and keeps this daemon's shards; its calls run in [scope] until the returned job is cancelled. */
-    fun start(scope: CoroutineScope): Job {
+    /** Joins the fleet and keeps this daemon's shards as one of [tasks] until the returned job is cancelled; its calls run in [scope]. */
+    fun start(
+        scope: CoroutineScope,
+        tasks: PeriodicTasks,
+    ): Job {
         this.scope = scope
         registerGauges()
-        return scope.launch {
-            while (true) {
-                handle(ShardEvent.Tick)
-                delay(TICK_MILLIS)
-            }
+        return tasks.start("shards") {
+            handle(ShardEvent.Tick)
+            TICK_MILLIS
         }
     }
 
@@ -154,14 +156,14 @@
         when (call) {
             is GrantsCall.Import -> {
                 run {
-                    pendingHandOvers.remove(call.token)?.let { shardGrants.import(call.shard, call.epoch, it.request.grants) }
+                    pendingHandOvers.remove(call.token)?.let { guarded { shardGrants.import(call.shard, call.epoch, it.request.grants) } }
                     handle(ShardEvent.GrantsReady(call.shard, call.epoch))
                 }
             }
 
             is GrantsCall.Recover -> {
                 run {
-                    shardGrants.recover(call.shard, call.epoch)
+                    guarded { shardGrants.recover(call.shard, call.epoch) }
                     handle(ShardEvent.GrantsReady(call.shard, call.epoch))
                 }
             }
@@ -213,9 +215,9 @@
     private suspend fun <T : Any> guarded(action: suspend () -> T): T? =
         try {
             action()
-        } catch (e: CancellationException) {
-            throw e
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
+            // A timeout inside the call is a CancellationException too; only the cancellation of this coroutine is rethrown.
+            currentCoroutineContext().ensureActive()
             telemetry.event("control_call_failed", Field("error", e), severity = Severity.ERROR)
             null
         }
--- a/daemon/src/test/kotlin/yuccaferry/daemon/control/ControlFleet.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/control/ControlFleet.kt
@@ -14,6 +14,7 @@
 import yuccaferry.daemon.port.ShardPeerHandler
 import yuccaferry.daemon.port.ShardPeers
 import yuccaferry.daemon.port.Telemetry
+import yuccaferry.daemon.tasks.PeriodicTasks
 import yuccaferry.decisions.shards.DaemonRecord
 import yuccaferry.decisions.shards.HandOverRequest
 import yuccaferry.decisions.shards.LeaseExtensionRequest
@@ -40,6 +41,17 @@
     lateinit var control: ShardController
     lateinit var job: Job
     override var version = ConfigurationVersion(1)
+        get() =
+            nextFailure?.let { failure ->
+                nextFailure = null
+                throw failure
+            } ?: field
+
+    /** Thrown by the next read of [version]. */
+    var nextFailure: Throwable? = null
+
+    /** Thrown whenever grants are imported or recovered. */
+    var grantsFailure: Throwable? = null
     val table get() = control.table
 
     override suspend fun export(shard: ShardId) = "from $id".encodeToByteArray()
@@ -49,6 +61,7 @@
         epoch: Epoch,
         grants: ByteArray,
     ) {
+        grantsFailure?.let { throw it }
         log += "import $shard $epoch ${grants.decodeToString()}"
     }
 
@@ -56,6 +69,7 @@
         shard: ShardId,
         epoch: Epoch,
     ) {
+        grantsFailure?.let { throw it }
         log += "recover $shard $epoch deciding=${table.mayDecide(shard)}"
     }
 
@@ -87,7 +101,7 @@
         val record = DaemonRecord(DaemonId(id), Session(0), id, attica, ZoneName("attica-a"), address, address)
         daemon.control = ShardController(record, settings, store, this, daemon, daemon, clock, CountingTelemetry(daemon.counts))
         daemons[address] = daemon
-        daemon.job = daemon.control.start(scope)
+        daemon.job = daemon.control.start(scope, PeriodicTasks(scope, clock, NoTelemetry))
         return daemon
     }
 
