--- a/integration-tests/src/test/kotlin/yuccaferry/integration/ProcessUnderTest.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/ProcessUnderTest.kt
@@ -84,14 +84,16 @@
             Runtime.getRuntime().addShutdownHook(Thread { running.toList().forEach { it.process.destroyForcibly() } })
         }
 
-        /** Starts [mainClass] with [arguments] in a JVM with a heap of [heapMegabytes]. */
+        /** Starts [mainClass] with [arguments] in a JVM with a heap of [heapMegabytes], and stacks of [stackKilobytes] or the JVM's default. */
         fun start(
             name: String,
             mainClass: String,
             arguments: List<String>,
             heapMegabytes: Int = 96,
+            stackKilobytes: Int? = null,
         ): ProcessUnderTest {
-            val options = listOf("-Xmx${heapMegabytes}m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto")
+            val stack = listOfNotNull(stackKilobytes?.let { "-Xss${it}k" })
+            val options = listOf("-Xmx${heapMegabytes}m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto") + stack
             val java = File(System.getProperty("java.home"), "bin/java").path
             val command = listOf(java) + options + listOf("-cp", System.getProperty("java.class.path"), mainClass) + arguments
             val process = ProcessBuilder(command).redirectErrorStream(true).start()
