--- a/integration-tests/src/test/kotlin/yuccaferry/integration/ProcessUnderTest.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/ProcessUnderTest.kt
@@ -84,7 +84,7 @@
             Runtime.getRuntime().addShutdownHook(Thread { running.toList().forEach { it.process.destroyForcibly() } })
         }
 
-        /** Starts [mainClass] with [arguments] in a JVM with a heap of [heapMegabytes], and stacks of [stackKilobytes] or the JVM's default. */
+        /** Starts [mainClass] with [arguments] in a JVM with a heap of [heapMegabytes]; [stackKilobytes] null means the default stacks. */
         fun start(
             name: String,
             mainClass: String,
