Start a task that stalls again

What callers could see: a task that waits for ever, such as the one that follows the store, made the gateway say that it isn't ready after 15 s, and nothing else: it stayed so until the process was started again. Cause: only a task that ended was started again. Change: a required task without progress for 15 s is cancelled with all coroutines of its run, logged (task_stalled) and started again; it counts as failed until it progresses. Evidence: BackgroundTasksTest 'a task that stalls' with the cancellation taken out: 'is started again, and is healthy once it progresses' and 'leaves no coroutine of its earlier run' end with 'TimeoutCancellation Timed out waiting for 10000 ms'; both pass now. All tests of model, decisions, daemon, telemetry, gateway, platform and gateway-app passed once on this code.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/BackgroundTasks.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/BackgroundTasks.kt
@@ -1,30 +1,38 @@
-// Runs the tasks that last as long as the process. Whatever ends one of them, it is started again.
+// Runs the tasks that last as long as the process. Whatever ends or stalls one of them, it is started again.
 package yuccaferry.gateway
 
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.Severity
 import yuccaferry.daemon.port.Telemetry
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.model.MonotonicTime
 
-/** The background tasks of a process on [loop]; confined to it. */
+/**
+ * The background tasks of a process on [loop]; confined to it.
+ *
+ * @param stallMillis milliseconds without progress after which a required task is unhealthy and started again.
+ */
 class BackgroundTasks(
     private val loop: EventLoop,
     private val telemetry: Telemetry,
+    private val stallMillis: Long = STALL_MILLIS,
 ) {
     private val required = mutableListOf<Task>()
 
-    /** Whether each required task has progressed since its last failure, and within the last [STALL_MILLIS]. */
+    /** Whether each required task has progressed since its last failure, and within the last [stallMillis]. */
     val areHealthy: Boolean get() = areHealthyAt(loop.now())
 
-    internal fun areHealthyAt(now: MonotonicTime) = required.all { it.isHealthy(now) }
+    internal fun areHealthyAt(now: MonotonicTime) = required.all { it.isHealthy(now, stallMillis) }
 
     /**
-     * Runs [action] until the process ends, and again after a pause whenever it ends or fails.
+     * Runs [action] until the process ends, and again after a pause whenever it ends or fails, or makes no progress though it is required.
      *
      * @param isRequired whether the process is healthy only while this task progresses.
      * @param isHealthy whether what the task does is sound, beyond its progress; asked only if it is required.
@@ -40,19 +48,40 @@
         if (isRequired) required += task
         loop.scope.launch {
             while (true) {
-                run(name, task, action)
+                runUntilStalled(name, task, if (isRequired) stallMillis else Long.MAX_VALUE, action)
                 delay(RESTART_MILLIS)
             }
         }
     }
 
+    /** Runs [action] until it ends, or has made no progress for [limitMillis]; its coroutines have ended then. */
+    private suspend fun runUntilStalled(
+        name: String,
+        task: Task,
+        limitMillis: Long,
+        action: suspend (onProgress: () -> Unit) -> Unit,
+    ) = coroutineScope {
+        task.start(loop.now())
+        val run = launch { run(name, task, action) }
+        while (run.isActive) {
+            val leftMillis = task.stallsIn(loop.now(), limitMillis)
+            if (leftMillis > 0) {
+                withTimeoutOrNull(leftMillis) { run.join() }
+                continue
+            }
+            task.recordFailure()
+            telemetry.event("task_stalled", Field("task", name), Field("after_ms", limitMillis), severity = Severity.ERROR)
+            run.cancelAndJoin()
+        }
+    }
+
     private suspend fun run(
         name: String,
         task: Task,
         action: suspend (onProgress: () -> Unit) -> Unit,
     ) {
         try {
-            action { task.recordProgress(loop.now()) }
+            coroutineScope { action { task.recordProgress(loop.now()) } }
         } catch (failure: Throwable) {
             currentCoroutineContext().ensureActive()
             // An Error, or a timeout inside the action, ends the coroutine too, and nothing else would start the task again.
@@ -78,6 +107,17 @@
         private val isSound: () -> Boolean,
     ) {
         private var hasFailed = false
+        private var started = lastProgress
+
+        fun start(now: MonotonicTime) {
+            started = now
+        }
+
+        /** Returns the milliseconds until a run without progress has lasted [limitMillis]. */
+        fun stallsIn(
+            now: MonotonicTime,
+            limitMillis: Long,
+        ): Long = limitMillis - (now - maxOf(started, lastProgress))
 
         fun recordProgress(now: MonotonicTime) {
             lastProgress = now
@@ -88,7 +128,10 @@
             hasFailed = true
         }
 
-        fun isHealthy(now: MonotonicTime) = !hasFailed && now - lastProgress <= STALL_MILLIS && isSound()
+        fun isHealthy(
+            now: MonotonicTime,
+            stallMillis: Long,
+        ) = !hasFailed && now - lastProgress <= stallMillis && isSound()
     }
 
     companion object {
--- a/gateway/src/test/kotlin/yuccaferry/gateway/BackgroundTasksTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/BackgroundTasksTest.kt
@@ -1,7 +1,9 @@
 package yuccaferry.gateway
 
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Nested
@@ -9,6 +11,7 @@
 import yuccaferry.gateway.net.EventLoop
 import kotlin.test.AfterTest
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
@@ -87,7 +90,69 @@
             assertTrue(tasks.areHealthy)
         }
 
+    @Nested
+    inner class `a task that stalls` {
+        private val stalling = BackgroundTasks(loop, NoTelemetry, stallMillis = 50)
+
+        /** Guards against a task that waits for ever, so that the view lags until the process is started again. */
+        @Test
+        fun `is started again, and is healthy once it progresses`() =
+            runBlocking(loop.scope.coroutineContext) {
+                var runs = 0
+                stalling.start("task") { onProgress ->
+                    if (++runs == 1) awaitCancellation()
+                    while (true) {
+                        onProgress()
+                        delay(POLL_MILLIS)
+                    }
+                }
+                await { runs == 2 }
+                await { stalling.areHealthy }
+                repeat(20) {
+                    delay(POLL_MILLIS)
+                    assertEquals(2, runs)
+                }
+            }
+
+        @Test
+        fun `leaves no coroutine of its earlier run`() =
+            runBlocking(loop.scope.coroutineContext) {
+                var runs = 0
+                var helpers = 0
+                stalling.start("task") {
+                    runs++
+                    coroutineScope {
+                        launch {
+                            helpers++
+                            try {
+                                awaitCancellation()
+                            } finally {
+                                helpers--
+                            }
+                        }
+                        awaitCancellation()
+                    }
+                }
+                await { runs == 3 && helpers == 1 }
+            }
+
+        @Test
+        fun `is left alone if it isn't required`() =
+            runBlocking(loop.scope.coroutineContext) {
+                var runs = 0
+                stalling.start("task", isRequired = false) {
+                    runs++
+                    awaitCancellation()
+                }
+                delay(RESTARTED_MILLIS)
+                assertEquals(1, runs)
+            }
+    }
+
     private companion object {
+        /** Time in which a required task that stalls is started again. */
+        const val RESTARTED_MILLIS = 800L
+
         const val WAIT_MILLIS = 10_000L
         const val POLL_MILLIS = 5L
     }
