End a reservation of memory whatever its release throws

What callers could see: a gateway that leaves waits for reservations until its time is nearly over, and closes the connections that are left; memory at the engine stays reserved until it expires. Cause: a release that throws ended the coroutine before onReleased, and without the further tries. Change: the tries go on, onReleased is called in any case, and the failure is thrown afterwards, so that the scope reports it (uncaught_failure). Evidence: MemoryReservationTest 'at the release, the reservation still ends' on the code before: 'TimeoutCancellation Timed out waiting for 10000 ms'; passes now. A failing renewal or last sign was no fault: 'at the renewal' and 'at the last sign of its use, the memory is still released' passed on the code before. PromptGuard.recordUnanswered runs in a coroutine of its own below a supervisor: what it throws loses that report only, by reading.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/MemoryReservation.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/MemoryReservation.kt
@@ -6,6 +6,7 @@
  */
 package yuccaferry.gateway.request
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -59,6 +60,7 @@
 ) {
     private var renewal: Job? = null
     private var isReleasing = false
+    private var releaseFailure: Throwable? = null
 
     /** Time until which an unanswered reservation may still be executed. */
     private var unsettledUntil = loop.now()
@@ -136,22 +138,37 @@
     private fun releaseInBackground() {
         isReleasing = true
         loop.scope.launch {
-            repeatRelease()
-            while (unsettledUntil > loop.now()) {
-                delay(timing.lateReleaseInterval)
+            try {
                 repeatRelease()
+                while (unsettledUntil > loop.now()) {
+                    delay(timing.lateReleaseInterval)
+                    repeatRelease()
+                }
+            } finally {
+                onReleased()
             }
-            onReleased()
+            // The scope reports it; the releases that followed may have succeeded.
+            releaseFailure?.let { throw it }
         }
     }
 
     private suspend fun repeatRelease() {
         repeat(RELEASE_ATTEMPTS) {
-            if (memory.release(target, id)) return
+            if (release()) return
             delay(timing.retryPause)
         }
     }
 
+    private suspend fun release(): Boolean =
+        try {
+            memory.release(target, id)
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (failure: Throwable) {
+            releaseFailure = failure
+            false
+        }
+
     private companion object {
         /** Least share of a reservation's duration after which it is renewed, however short it is. */
         const val MIN_RENEWAL_SHARE = 0.4
--- a/gateway/src/test/kotlin/yuccaferry/gateway/request/MemoryReservationTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/request/MemoryReservationTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -122,6 +123,59 @@
             assertFalse(memory.released.isCompleted)
         }
 
+    /** Guards against a reservation that counts as unreleased for good, for whose release a daemon waits when it leaves. */
+    @Nested
+    inner class `if a call to the engine throws` {
+        private val released = CompletableDeferred<Unit>()
+        private val timing = ReservationTiming(hold = 200, reportAge = 100, checkPause = 5, renewalMargin = 150, retryPause = 5)
+
+        /** An engine that grants reservations, and fails when it is told to release one. */
+        private inner class FailingMemory(
+            private val failsToRelease: Boolean,
+            private val orders: Memory = Memory { ReserveResult.HELD },
+        ) : EngineMemory by orders {
+            override suspend fun release(
+                target: Target,
+                id: String,
+            ): Boolean = if (failsToRelease) throw StackOverflowError() else orders.release(target, id)
+
+            override suspend fun useOf(
+                target: Target,
+                id: String,
+            ): MemoryUse = throw IllegalStateException()
+        }
+
+        private fun reservationOf(
+            memory: EngineMemory,
+            lastSign: suspend () -> MonotonicTime? = { null },
+        ) = MemoryReservation(loop, memory, target, "r-i-1", 1_000, timing, { released.complete(Unit) }, lastSign)
+
+        @Test
+        fun `at the release, the reservation still ends`() =
+            test {
+                reservationOf(FailingMemory(failsToRelease = true)).apply { open() }.close()
+                released.await()
+            }
+
+        @Test
+        fun `at the renewal, the memory is still released`() =
+            test {
+                val reservation = reservationOf(FailingMemory(failsToRelease = false)).apply { open() }
+                delay(timing.hold)
+                reservation.close()
+                released.await()
+            }
+
+        @Test
+        fun `at the last sign of its use, the memory is still released`() =
+            test {
+                val reservation = reservationOf(FailingMemory(failsToRelease = false)) { throw StackOverflowError() }.apply { open() }
+                delay(timing.hold)
+                reservation.close()
+                released.await()
+            }
+    }
+
     @Nested
     inner class `while the request runs` {
         /** An engine that grants all reservations; records how long each is to last, and reports [use]. */
