--- a/gateway-app/src/test/kotlin/yuccaferry/gateway/app/SettingsFileTest.kt
+++ b/gateway-app/src/test/kotlin/yuccaferry/gateway/app/SettingsFileTest.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.Nested
 import yuccaferry.daemon.port.NoTelemetry
+import java.io.RandomAccessFile
 import java.nio.file.Files
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -73,5 +74,45 @@
             file.reload(NoTelemetry)
             assertEquals(236.0, file.current.limits.repeatReserve)
         }
+
+        /** Guards against a file that exhausts the memory of a daemon whose requests are served. */
+        @Test
+        fun `keeps the current settings if the file is huge`() {
+            val file = file(validSettings)
+            RandomAccessFile(path.toFile(), "rw").use { it.setLength(HUGE_BYTES) }
+            file.reload(NoTelemetry)
+            assertEquals(236.0, file.current.limits.repeatReserve)
+            Files.writeString(path, validSettings.replace("236", "100"))
+            file.reload(NoTelemetry)
+            assertEquals(100.0, file.current.limits.repeatReserve)
+        }
+
+        @Test
+        fun `keeps the current settings if the new ones are nested deeply`() {
+            val file = file(validSettings)
+            for (opening in listOf("[", "{\"name\":", "{\"limits\":", "{\"unknown\":")) {
+                for (start in listOf("", "{\"limits\":", "{\"internalPorts\":")) {
+                    Files.writeString(path, start + opening.repeat(DEPTH))
+                    onSmallStack { file.reload(NoTelemetry) }
+                }
+            }
+            assertEquals(236.0, file.current.limits.repeatReserve)
+        }
+    }
+
+    /** Runs [action] on a thread with the stack of the event loop, and throws what it throws. */
+    private fun onSmallStack(action: () -> Unit) {
+        var thrown: Throwable? = null
+        val worker = Thread(null, { thrown = runCatching(action).exceptionOrNull() }, "small", STACK_BYTES)
+        worker.start()
+        worker.join()
+        thrown?.let { throw AssertionError(it) }
+    }
+
+    private companion object {
+        /** Longer than any array, so that it can't be read whole. */
+        const val HUGE_BYTES = 3_000_000_000L
+        const val DEPTH = 100_000
+        const val STACK_BYTES = 262_144L
     }
 }
