Apply a longer idle timeout to connections that are idle already

A kept connection was closed when the idle timeout of the configuration at its last answer was over, although a newer one allowed more. The timer now looks at the timeout in force when it fires.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpServerConnection.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpServerConnection.kt
@@ -18,6 +18,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import yuccaferry.decisions.routing.CallerLimits
+import yuccaferry.model.MonotonicTime
 import java.util.concurrent.TimeUnit
 
 internal class HttpServerConnection(
@@ -209,7 +210,11 @@
         cause: Throwable,
     ) = close(cause.toString())
 
-    private fun armIdleTimer() = armTimer(limits().idleTimeoutMillis + IDLE_GRACE_MILLIS) { close("idle") }
+    /** Closes the connection when it has been idle for the timeout in force at that time. */
+    private fun armIdleTimer(since: MonotonicTime = loop.now()) {
+        val leftMillis = limits().idleTimeoutMillis + IDLE_GRACE_MILLIS - (loop.now() - since)
+        if (leftMillis > 0) armTimer(leftMillis) { armIdleTimer(since) } else close("idle")
+    }
 
     private fun armTimer(
         millis: Long,
