--- a/gateway/src/test/kotlin/yuccaferry/gateway/request/MemoryReservationTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/request/MemoryReservationTest.kt
@@ -142,7 +142,7 @@
             override suspend fun useOf(
                 target: Target,
                 id: String,
-            ): MemoryUse = throw IllegalStateException()
+            ): MemoryUse = error("no report")
         }
 
         private fun reservationOf(
