--- a/daemon/src/test/kotlin/yuccaferry/daemon/control/ControlFleet.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/control/ControlFleet.kt
@@ -7,10 +7,12 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import yuccaferry.daemon.port.Clock
 import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.NoTelemetry
 import yuccaferry.daemon.port.PeerError
+import yuccaferry.daemon.port.Severity
 import yuccaferry.daemon.port.ShardPeerHandler
 import yuccaferry.daemon.port.ShardPeers
 import yuccaferry.daemon.port.Telemetry
@@ -49,6 +51,14 @@
 
     /** Thrown by the next read of [version]. */
     var nextFailure: Throwable? = null
+        set(value) {
+            field = value
+            expectsTaskFailure = expectsTaskFailure || value != null
+        }
+
+    /** Whether a failed task doesn't fail the test. */
+    var expectsTaskFailure = false
+        private set
 
     /** Thrown whenever grants are imported or recovered. */
     var grantsFailure: Throwable? = null
@@ -101,7 +111,7 @@
         val record = DaemonRecord(DaemonId(id), Session(0), id, attica, ZoneName("attica-a"), address, address)
         daemon.control = ShardController(record, settings, store, this, daemon, daemon, clock, CountingTelemetry(daemon.counts))
         daemons[address] = daemon
-        daemon.job = daemon.control.start(scope, PeriodicTasks(scope, clock, NoTelemetry))
+        daemon.job = daemon.control.start(scope, PeriodicTasks(scope, clock, TaskFailures(scope, daemon)))
         return daemon
     }
 
@@ -135,6 +145,20 @@
     }
 }
 
+/** Fails [scope], and with it the test, when a task of [daemon] fails unexpectedly. */
+private class TaskFailures(
+    private val scope: CoroutineScope,
+    private val daemon: ControlledDaemon,
+) : Telemetry by NoTelemetry {
+    override fun event(
+        name: String,
+        vararg fields: Field,
+        severity: Severity,
+    ) {
+        if (name == "task_failed" && !daemon.expectsTaskFailure) scope.launch { error("${daemon.id}: ${fields.joinToString()}") }
+    }
+}
+
 internal class CountingTelemetry(
     private val counts: HashMap<String, Double>,
 ) : Telemetry by NoTelemetry {
--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
@@ -144,8 +144,11 @@
     onReload = { loop.scope.launch { file.reload(telemetry) } },
     onTerminate = {
         loop.scope.launch {
-            daemon.leave(deregister = platform::leave)
-            Runtime.getRuntime().halt(0)
+            try {
+                daemon.leave(deregister = platform::leave)
+            } finally {
+                Runtime.getRuntime().halt(0)
+            }
         }
     },
 )
--- a/gateway/src/main/kotlin/yuccaferry/gateway/BackgroundTasks.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/BackgroundTasks.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.yield
 import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.Severity
 import yuccaferry.daemon.port.Telemetry
@@ -48,12 +49,29 @@
         if (isRequired) required += task
         loop.scope.launch {
             while (true) {
-                runUntilStalled(name, task, if (isRequired) stallMillis else Long.MAX_VALUE, action)
-                delay(RESTART_MILLIS)
+                supervise(name, task, if (isRequired) stallMillis else Long.MAX_VALUE, action)
             }
         }
     }
 
+    /** Runs [action] once and pauses. A failure of the supervision itself, such as lack of memory, ends the run and nothing else. */
+    private suspend fun supervise(
+        name: String,
+        task: Task,
+        limitMillis: Long,
+        action: suspend (onProgress: () -> Unit) -> Unit,
+    ) {
+        try {
+            runUntilStalled(name, task, limitMillis, action)
+            delay(RESTART_MILLIS)
+        } catch (failure: Throwable) {
+            currentCoroutineContext().ensureActive()
+            task.recordFailure()
+            logFailure(name, failure)
+            yield()
+        }
+    }
+
     /** Runs [action] until it ends, or has made no progress for [limitMillis]; its coroutines have ended then. */
     private suspend fun runUntilStalled(
         name: String,
@@ -97,7 +115,7 @@
         try {
             val where = failure.stackTrace.firstOrNull()
             telemetry.event("task_failed", Field("task", name), Field("error", failure), Field("at", where), severity = Severity.ERROR)
-        } catch (exhausted: OutOfMemoryError) {
+        } catch (unlogged: Throwable) {
             // The task is started again, with or without a log line.
         }
     }
--- a/gateway/src/test/kotlin/yuccaferry/gateway/BackgroundTasksTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/BackgroundTasksTest.kt
@@ -7,7 +7,10 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Nested
+import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.NoTelemetry
+import yuccaferry.daemon.port.Severity
+import yuccaferry.daemon.port.Telemetry
 import yuccaferry.gateway.net.EventLoop
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -114,6 +117,26 @@
                 }
             }
 
+        /** Guards against a failure of the log that ends the supervision of a task, and with it the task, for good. */
+        @Test
+        fun `is started again although the line about it can't be written`() =
+            runBlocking(loop.scope.coroutineContext) {
+                val failing =
+                    object : Telemetry by NoTelemetry {
+                        override fun event(
+                            name: String,
+                            vararg fields: Field,
+                            severity: Severity,
+                        ): Unit = throw OutOfMemoryError()
+                    }
+                var runs = 0
+                BackgroundTasks(loop, failing, stallMillis = 50).start("task") {
+                    runs++
+                    awaitCancellation()
+                }
+                await { runs >= 2 }
+            }
+
         @Test
         fun `leaves no coroutine of its earlier run`() =
             runBlocking(loop.scope.coroutineContext) {
