Deliver a service's answer whose headers aren't valid

What callers saw: 500 with a line of text, when the service's answer had a content type that is none, or a header with a character that HTTP doesn't allow. The call had run, and its answer was lost. Cause: such headers throw while the answer is built, and no catch stands there. Evidence: PlainCallExchangeTest on the code before: expected <201 receipt> but was <500 Bad Content-Type format: garbage>, and <500 Header value 'a..b' contains illegal character>. Change: such headers are left out, the status and the body are delivered. Result: passes.

--- a/adapter-http/src/main/kotlin/yuccaferry/http/callers/PlainCallExchange.kt
+++ b/adapter-http/src/main/kotlin/yuccaferry/http/callers/PlainCallExchange.kt
@@ -84,21 +84,34 @@
         answer.headers
             .filterNot { it === type || it.name.equals(REQUEST_ID_HEADER, ignoreCase = true) }
             .filterNot { HttpHeaders.isUnsafe(it.name) }
+            .filter { isValid(it) }
             .forEach { call.response.header(it.name, it.value) }
-        call.respondBytes(answer.body, type?.let { ContentType.parse(it.value) }, HttpStatusCode.fromValue(answer.status))
+        call.respondBytes(answer.body, type?.let { contentTypeOf(it.value) }, HttpStatusCode.fromValue(answer.status))
     }
 
+    /** Whether HTTP allows [header]. The call has run, so its answer is delivered without those that HTTP doesn't allow. */
+    private fun isValid(header: Header): Boolean =
+        try {
+            HttpHeaders.checkHeaderName(header.name)
+            HttpHeaders.checkHeaderValue(header.value)
+            true
+        } catch (e: IllegalArgumentException) {
+            false
+        }
+
+    private fun contentTypeOf(value: String): ContentType? =
+        try {
+            ContentType.parse(value)
+        } catch (e: BadContentTypeFormatException) {
+            null
+        }
+
     private fun headerProblem(): Problem? {
         val key = call.request.header(IDEMPOTENCY_KEY_HEADER)
         if (key != null && (key.isBlank() || key.length > MAX_KEY_CHARACTERS)) {
             return Problem("header $IDEMPOTENCY_KEY_HEADER", "1 to $MAX_KEY_CHARACTERS characters, not all blank", "${key.length}")
         }
         val type = call.request.header(HttpHeaders.ContentType) ?: return null
-        return try {
-            ContentType.parse(type)
-            null
-        } catch (e: BadContentTypeFormatException) {
-            Problem("header Content-Type", "a media type", type)
-        }
+        return if (contentTypeOf(type) == null) Problem("header Content-Type", "a media type", type) else null
     }
 }
