Keep a caller's huge deadline from overflowing into the past

What callers saw: a request with X-Deadline-Ms near the largest 64-bit number was refused as if its deadline had passed. Cause: the sum of the clock and the header overflowed. Change: the header counts up to the time that is left to the account's deadline.

--- a/adapter-http/src/main/kotlin/yuccaferry/http/callers/CallersApi.kt
+++ b/adapter-http/src/main/kotlin/yuccaferry/http/callers/CallersApi.kt
@@ -153,7 +153,8 @@
         latest: MonotonicTime,
     ): MonotonicTime {
         val millis = call.request.header(DEADLINE_HEADER)?.toLongOrNull() ?: return latest
-        return minOf(latest, clock.now() + maxOf(millis, 0))
+        val now = clock.now()
+        return minOf(latest, now + millis.coerceIn(0, maxOf(latest - now, 0)))
     }
 
     private fun modelList(account: AccountEntry): String =
--- a/adapter-http/src/test/kotlin/yuccaferry/http/callers/PlainCallExchangeTest.kt
+++ b/adapter-http/src/test/kotlin/yuccaferry/http/callers/PlainCallExchangeTest.kt
@@ -130,4 +130,11 @@
             assertEquals("1", answer.headers().firstValue("X-Sound").orElse(null))
         }
     }
+
+    /** Guards against a deadline that overflowed into the past. */
+    @Test
+    fun `the account's deadline stands before a later one of the caller`() {
+        listOf("${Long.MAX_VALUE}", "99999999999999999999", "x").forEach { call("X-Deadline-Ms", it) }
+        assertEquals(List(3) { 1_000L + DEADLINE_SECONDS * 1_000 }, calls.map { it.deadline.millis })
+    }
 }
