--- a/integration-tests/src/test/kotlin/yuccaferry/integration/LargeEntriesTest.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/LargeEntriesTest.kt
@@ -23,7 +23,7 @@
     private companion object {
         const val GATEWAYS = 2
 
-        /** Entries whose base64 text is beyond the limit of an answer of the store, 16 MiB. */
+        /** Entries whose base64 text is beyond the limit of an answer of the store many times over. */
         const val ENTRIES = 16
 
         /** Largest value that the platform's store accepts, in bytes. */
