Answer a request before its defect is logged, and count a response as started once its head is built

Cause: the defect was logged before the request was answered; the response counted as started before its headers were set, so no refusal was sent. Evidence, on the code before: DefectTest gets no status line; HttpResponseWriterTest finds the response started. Change: both orders reversed. Result: both tests pass.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpResponseWriter.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpResponseWriter.kt
@@ -28,7 +28,7 @@
     private val mayKeepOpen: Boolean,
     private val isDraining: () -> Boolean = { false },
 ) {
-    /** Whether the status line has been sent. */
+    /** Whether the status line has been sent, or may have been. */
     var isStarted = false
         private set
 
@@ -95,8 +95,8 @@
         response: HttpResponse,
         headers: List<Header>,
     ) {
-        isStarted = true
         headers.forEach { response.headers().add(it.name, it.value) }
+        isStarted = true
         keepsOpen = mayKeepOpen && !isDraining()
         if (!keepsOpen) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/Gateway.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/Gateway.kt
@@ -58,8 +58,9 @@
             // An Error ends this request only, like any other defect.
             outcome = "defect"
             val where = unexpected.stackTrace.firstOrNull()
-            telemetry.event("defect", Field("request", head?.id), Field("error", unexpected), Field("at", where), severity = Severity.ERROR)
+            // Answered first, because what failed may make the log fail too.
             if (!reply.isStarted) format.refuse(reply, head?.id, STATUS_BAD_GATEWAY)
+            telemetry.event("defect", Field("request", head?.id), Field("error", unexpected), Field("at", where), severity = Severity.ERROR)
         } finally {
             running -= exchange
             val millis = loop.now() - arrival
