Know who has a shard after handing it over, without the store

Callers of such a daemon are refused, not run. Cause: the daemon had handed its only shard over 0.4 s before its way to the store was held (log: seat_handed_over, seat_lost, then configuration_not_confirmed). It learns the new holder from the store only, so it asked itself until the caller's deadline. Evidence: ShardControllerTest "is known as the holder to the daemon that handed a shard over ..." on the code before: expected [b, b, b], was [a, a, a]. Change: the answer TAKEN makes the receiver known as the holder, with the epoch that it has written. Result: the test passes.

--- a/daemon/src/main/kotlin/yuccaferry/daemon/control/ShardController.kt
+++ b/daemon/src/main/kotlin/yuccaferry/daemon/control/ShardController.kt
@@ -37,6 +37,7 @@
 import yuccaferry.decisions.shards.ShardStateMachine
 import yuccaferry.decisions.shards.StoreAnswer
 import yuccaferry.decisions.shards.StoreCall
+import yuccaferry.model.Epoch
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
@@ -198,11 +199,15 @@
                         peers.handOver(call.to.peer, HandOverRequest(call.shard, call.epoch, call.revision, call.from, grants))
                     }
                 telemetry.event("seat_handed_over", Field("seat", call.shard), Field("to", call.to.id), Field("answer", answer))
+                if (answer == HandOverAnswer.TAKEN) published.learn(holderAfter(call))
                 handle(ShardEvent.HandOverAnswered(call, answer))
             }
         }
     }
 
+    /** The receiver's hold of a shard that it has taken; the store's view, which has it too, may come later. */
+    private fun holderAfter(call: PeerCall.HandOver) = ShardHolder(call.shard, call.to.id, call.to.peer, Epoch(call.epoch.value + 1))
+
     private suspend fun <T> answerOf(
         kind: String,
         call: suspend () -> Result<T, PeerError>,
--- a/daemon/src/test/kotlin/yuccaferry/daemon/control/ShardControllerTest.kt
+++ b/daemon/src/test/kotlin/yuccaferry/daemon/control/ShardControllerTest.kt
@@ -94,6 +94,20 @@
                 assertEquals(received.map { "lost $it" }.toSet(), a.log.toSet())
             }
 
+        /** Guards against a daemon that refuses calls after it handed a shard over, because it can't read from the store who has it. */
+        @Test
+        fun `is known as the holder to the daemon that handed a shard over, before that one reads the store again`() =
+            control { fleet ->
+                val a = fleet.start("a")
+                advanceTimeBy(5_000)
+                fleet.start("b")
+                while (a.log.none { it.startsWith("lost") }) advanceTimeBy(1)
+                fleet.store.unavailable = true
+                val handedOver = shards.filter { "lost $it" in a.log }
+                advanceTimeBy(5_000)
+                assertEquals(handedOver.map { Address("b") }, handedOver.map { a.table.holderOf(it)?.peer })
+            }
+
         @Test
         fun `takes over the shards of a dead daemon and recovers their grants before it decides`() =
             control { fleet ->
