BookingFailureTest: wait for a booking before the uplink to the store is held

The other tests of held answers make a booking first, this one didn't. Change: it makes one too. Its outcome must be written before the fault is set: without that wait two of five trials found two pending bookings instead of one until the claim's window ended (2.2 s). A booking that is answered before its claim now fails the test at once with its answer. All checks are as before.

--- a/integration-tests/src/test/kotlin/yuccaferry/integration/bookings/BookingFailureTest.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/bookings/BookingFailureTest.kt
@@ -38,11 +38,17 @@
     private fun awaitRun(key: String) = eventually("$key runs") { fleet.service.runs(key) == 1 }
 
     /**
-     * Holds the store's answer to the next claim. Makes a booking first, because a daemon that has just started waits for its
-     * retention lease and claims nothing.
+     * Makes a booking without a fault and waits until its outcome is written. A daemon that has just started waits for its retention
+     * lease and claims nothing, and one that has just handed its shard over may not know yet who decides on the service's grants.
      */
-    private fun holdAnswersOfStore(daemon: BookingDaemon) {
+    private fun awaitBooking(daemon: BookingDaemon) {
         assertIs<BookingResult.Success>(daemon.book(key = null).answer())
+        eventually("the outcome is written") { daemon.pending() == 0 }
+    }
+
+    /** Holds the store's answer to the next claim. */
+    private fun holdAnswersOfStore(daemon: BookingDaemon) {
+        awaitBooking(daemon)
         daemon.storeProxy.setFaults("""{"one_way":"down"}""")
     }
 
@@ -72,9 +78,13 @@
     inner class `a daemon that is killed` {
         @Test
         fun `before its claim takes effect leaves no run behind`() {
+            awaitBooking(first)
             first.storeProxy.setFaults("""{"one_way":"up"}""")
             val result = first.book("killed-before-claim")
-            eventually("the claim is on its way") { first.pending() == 1 }
+            eventually("the claim is on its way") {
+                check(!result.isDone) { "answered before its claim: ${result.get()}" }
+                first.pending() == 1
+            }
             first.process.signal(Signal.KILL)
             assertEquals(BookingResult.Nothing, result.answer())
             assertEquals(0, fleet.service.runs("killed-before-claim"))
