--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/Gateway.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/Gateway.kt
@@ -59,8 +59,17 @@
             outcome = "defect"
             val where = unexpected.stackTrace.firstOrNull()
             // Answered first, because what failed may make the log fail too.
-            if (!reply.isStarted) format.refuse(reply, head?.id, STATUS_BAD_GATEWAY)
-            telemetry.event("defect", Field("request", head?.id), Field("error", unexpected), Field("at", where), severity = Severity.ERROR)
+            try {
+                if (!reply.isStarted) format.refuse(reply, head?.id, STATUS_BAD_GATEWAY)
+            } finally {
+                telemetry.event(
+                    "defect",
+                    Field("request", head?.id),
+                    Field("error", unexpected),
+                    Field("at", where),
+                    severity = Severity.ERROR,
+                )
+            }
         } finally {
             running -= exchange
             val millis = loop.now() - arrival
