BookingFailureTest: wait for the claim itself instead of the number of pending bookings

Cause, found by review: a booking counts as pending before its claim is sent, and that of an earlier one counts too. Change: the test waits until the daemon has sent one claim more. Stricter than before.

--- a/integration-tests/src/test/kotlin/yuccaferry/integration/bookings/BookingFailureTest.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/bookings/BookingFailureTest.kt
@@ -79,11 +79,12 @@
         @Test
         fun `before its claim takes effect leaves no run behind`() {
             awaitBooking(first)
+            val claims = first.claims()
             first.storeProxy.setFaults("""{"one_way":"up"}""")
             val result = first.book("killed-before-claim")
             eventually("the claim is on its way") {
                 check(!result.isDone) { "answered before its claim: ${result.get()}" }
-                first.pending() == 1
+                first.claims() > claims
             }
             first.process.signal(Signal.KILL)
             assertEquals(BookingResult.Nothing, result.answer())
--- a/integration-tests/src/test/kotlin/yuccaferry/integration/bookings/BookingFleet.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/bookings/BookingFleet.kt
@@ -109,15 +109,23 @@
             HttpCalls.get(process.address("callers"), "/services/$SERVICE/open", AUTHORIZATION).statusCode() == 200
 
     /** Returns the number of bookings that are claimed, running or waiting for their outcome to be written. */
-    fun pending(): Int =
+    fun pending(): Int = metric("yuccaferry_ledger_pending") ?: error("no number of pending bookings")
+
+    /** Returns the number of claims that were sent to the store. */
+    fun claims(): Int = metric("yuccaferry_ledger_writes", "step=\"claim\"") ?: 0
+
+    private fun metric(
+        name: String,
+        label: String = "",
+    ): Int? =
         HttpCalls
             .get(admin, "/metrics")
             .body()
             .lineSequence()
-            .first { it.startsWith("yuccaferry_ledger_pending") }
-            .substringAfterLast(' ')
-            .toDouble()
-            .toInt()
+            .firstOrNull { it.startsWith(name) && label in it }
+            ?.substringAfterLast(' ')
+            ?.toDouble()
+            ?.toInt()
 
     /** Sends one booking with the idempotency key [key], or without a key when null. */
     fun book(
