Count the load that targets state of themselves

Cause: all that a gateway knew of an engine was what it and the peers that tell it had sent there.

Change: answers state running and waiting requests and slots; what is beyond the known requests counts as unaccounted for the time of a usual answer and is told to near peers, at most 16 targets a message. Predicted times include the wait for a slot. An engine that answers others isn't given up after a second, as a second try would add to its load; abandoned work counts for half a second more.

--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -136,7 +136,20 @@
     prompt: Prompt,
     engine: TargetLoad,
     parts: Int,
-): Double = engine.remainingPrefillMillis + prefillMillis(prompt.promptTokens, parts) + passMillis(engine.active, engine.heldTokens)
+): Double =
+    queueMillis(prompt, engine) + engine.remainingPrefillMillis + prefillMillis(prompt.promptTokens, parts) +
+        passMillis(minOf(engine.active, engine.slots), engine.heldTokens)
+
+/** Predicts for how long [prompt] waits for a slot of [engine], whose requests are assumed to have answers as long as the prompt's. */
+private fun EngineModel.queueMillis(
+    prompt: Prompt,
+    engine: TargetLoad,
+): Double {
+    val ahead = engine.active - engine.slots + 1
+    if (ahead <= 0) return 0.0
+    val answerMillis = (prompt.totalTokens - prompt.promptTokens) * passMillis(engine.slots, engine.heldTokens) / figures.stepsPerPass
+    return ahead * answerMillis / engine.slots
+}
 
 /**
  * Prefill time above which a prompt counts as long. A pass that prefills it and one short prompt pauses the decoding requests of the
--- a/decisions/src/main/kotlin/yuccaferry/decisions/forward/EventTimeouts.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/forward/EventTimeouts.kt
@@ -7,12 +7,17 @@
 import yuccaferry.decisions.routing.RequestKind
 import yuccaferry.decisions.routing.Route
 
-/** Returns the milliseconds after which an attempt on [route] without an event ends, [predictedMillis] being predicted for the first. */
+/**
+ * Returns the milliseconds after which an attempt on [route] without an event ends, [predictedMillis] being predicted for the first.
+ * [answersOthers] tells whether the target has sent anything since the request was sent to it, so that it hasn't stalled.
+ */
 fun firstEventTimeoutMillis(
     predictedMillis: Long,
     route: Route,
+    answersOthers: Boolean = false,
 ): Long {
     val patient = LONG_TIMEOUT_MILLIS + LONG_TIMEOUT_FACTOR * predictedMillis
+    if (answersOthers) return patient
     val early = maxOf(patienceMillis(route) / 2, SHORT_TIMEOUT_MILLIS + SHORT_TIMEOUT_FACTOR * predictedMillis)
     return minOf(patient, early)
 }
--- a/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/StreamPlacementTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/StreamPlacementTest.kt
@@ -61,6 +61,23 @@
         assertNull(mainOf(4_960))
     }
 
+    @Nested
+    inner class `a predicted time` {
+        private fun predicted(active: Int) = assertNotNull(place(prompt(4_960, 5_960), listOf(engine("a", active)))).predictedMillis
+
+        @Test
+        fun `includes the wait for a slot of a full engine`() {
+            val answerMillis = 1_000 * placement.model.passMillis(11, 0) / figures.stepsPerPass
+            assertEquals(answerMillis / 11, predicted(active = 11) - predicted(active = 10), absoluteTolerance = 2.0)
+            assertEquals(5 * answerMillis / 11, predicted(active = 15) - predicted(active = 10), absoluteTolerance = 2.0)
+        }
+
+        @Test
+        fun `includes no wait while a slot is free`() {
+            assertEquals(0.0, predicted(active = 10) - predicted(active = 0), absoluteTolerance = 2.0)
+        }
+    }
+
     @Nested
     inner class `a short prompt` {
         @Test
--- a/decisions/src/test/kotlin/yuccaferry/decisions/forward/EventTimeoutsTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/forward/EventTimeoutsTest.kt
@@ -37,9 +37,21 @@
         assertTrue(timeout >= 3 * 900)
     }
 
+    @Test
+    fun `an engine that answers others is waited for, because a second try would only add to its load`() {
+        val route = route(targetLatencyMillis = 304, targetGapMillis = 250)
+        assertTrue(firstEventTimeoutMillis(predictedMillis = 80, route, answersOthers = true) > CALLERS_WAIT_MILLIS)
+        assertTrue(firstEventTimeoutMillis(predictedMillis = 80, route, answersOthers = false) <= CALLERS_WAIT_MILLIS / 2)
+    }
+
     @Test
     fun `a long prompt's engine has several times the predicted time`() {
         val timeout = firstEventTimeoutMillis(predictedMillis = 2_500, route(targetLatencyMillis = 4_000, targetGapMillis = 1_200))
         assertTrue(timeout >= 3 * 2_500)
     }
+
+    private companion object {
+        /** Milliseconds after which callers with short prompts leave a stream without an event. */
+        const val CALLERS_WAIT_MILLIS = 2_000L
+    }
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -7,7 +7,9 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.Telemetry
+import yuccaferry.decisions.dispatch.LoadReports
 import yuccaferry.decisions.dispatch.PeerReports
+import yuccaferry.decisions.dispatch.TargetActivity
 import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.forward.Departure
 import yuccaferry.decisions.quarantine.PromptQuarantine
@@ -67,12 +69,15 @@
 
     private val health = TargetHealth()
     private val reports = PeerReports()
+    private val loads = LoadReports()
+    private val activity = TargetActivity()
     private val quarantine = PromptQuarantine()
 
     /** Exchanges messages with other daemons. */
-    val peers = PeerLink(loop, DaemonName(name), zone, workTracker, health, reports, quarantine, telemetry)
+    val peers = PeerLink(loop, DaemonName(name), zone, workTracker, health, reports, loads, activity, quarantine, telemetry)
     private val connector = HttpClientConnector(loop)
-    private val selector = TargetSelector(fleet, workTracker, health, reports, notices, DaemonName(name), zone, limits, random)
+    private val selector =
+        TargetSelector(fleet, workTracker, health, reports, loads, activity, notices, DaemonName(name), zone, limits, random)
     private val tracker = AttemptTracker(loop, format, health, RetryPolicy(fleet, limits), AttemptLog(telemetry))
     private val buffers = BufferBudget()
     private val calls = CallForwarder(loop, connector, format, selector, tracker, workTracker, notices, buffers)
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
@@ -18,7 +18,9 @@
 import kotlinx.serialization.encodeToByteArray
 import kotlinx.serialization.protobuf.ProtoBuf
 import yuccaferry.daemon.port.Telemetry
+import yuccaferry.decisions.dispatch.LoadReports
 import yuccaferry.decisions.dispatch.PeerReports
+import yuccaferry.decisions.dispatch.TargetActivity
 import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.dispatch.TargetPenalty
 import yuccaferry.decisions.quarantine.PromptQuarantine
@@ -28,6 +30,7 @@
 import yuccaferry.gateway.view.Member
 import yuccaferry.model.DaemonName
 import yuccaferry.model.Incarnation
+import yuccaferry.model.MonotonicTime
 import yuccaferry.model.TargetId
 import yuccaferry.model.ZoneName
 import java.net.InetSocketAddress
@@ -43,6 +46,8 @@
     private val workTracker: WorkTracker,
     private val health: TargetHealth,
     private val reports: PeerReports,
+    private val loads: LoadReports,
+    private val activity: TargetActivity,
     private val quarantine: PromptQuarantine,
     private val telemetry: Telemetry,
 ) {
@@ -150,7 +155,9 @@
         val reports = quarantine.report(loop.now()).split(QuarantineMessage.MAX_PARTS)
         val first = reports.firstOrNull()?.let { QuarantineMessage.of(it) }
         val told = work.sortedByDescending { it.active }.take(WorkMessage.MAX_TARGETS)
-        val message = WorkMessage(name.value, start, ++sequence, told, repeatMillis * MISSED_REPEATS, penalties, first)
+        val stated = loads.reportable(loop.now()).map { LoadMessage.of(it) }
+        val message =
+            WorkMessage(name.value, start, ++sequence, told, repeatMillis * MISSED_REPEATS, penalties, first, loads = stated)
         val addresses = receivers.map { it.peerAddress }
         (listOf(message) + additions(reports.drop(1))).forEach { send(open, addresses, it) }
         open.flush()
@@ -187,9 +194,21 @@
         if (!message.isAddition) workTracker.receive(message, now)
         val penalties = message.penalties.map { TargetPenalty(TargetId(it.target), Incarnation(it.run), it.millis.toDouble()) }
         reports.receive(DaemonName(message.daemon), penalties, now)
+        message.loads.forEach { receive(it, now) }
         message.quarantine?.let { quarantine.receive(it.toReport(), now) }
     }
 
+    private fun receive(
+        stated: LoadMessage,
+        now: MonotonicTime,
+    ) {
+        val target = TargetId(stated.target)
+        val run = Incarnation(stated.run)
+        val time = now + -stated.ageMillis.toLong()
+        activity.record(target, run, time)
+        loads.record(target, run, stated.load, known = workTracker.totalsAt(target, now).active, time)
+    }
+
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(
             context: ChannelHandlerContext,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
@@ -5,6 +5,9 @@
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.protobuf.ProtoBuf
 import kotlinx.serialization.protobuf.ProtoNumber
+import yuccaferry.decisions.dispatch.LoadReports
+import yuccaferry.decisions.dispatch.ReportedLoad
+import yuccaferry.decisions.dispatch.TargetReport
 
 /**
  * The complete work of one daemon, as far as the receiver is told about it, so that the next message makes up for a lost one.
@@ -15,6 +18,7 @@
  * @property penalties penalties of targets that failed or were late.
  * @property quarantine what the sender knows of prompts that crash targets; null if it knows of none.
  * @property isAddition whether the message only adds to what the sender reports of prompts, and leaves its work as it was.
+ * @property loads load that targets stated to the sender and its peers may not know.
  * @property validMillis time after which the work is no longer counted unless another message arrives.
  */
 @Serializable
@@ -27,6 +31,7 @@
     @ProtoNumber(6) val penalties: List<ReportedPenalty> = emptyList(),
     @ProtoNumber(7) val quarantine: QuarantineMessage? = null,
     @ProtoNumber(8) val isAddition: Boolean = false,
+    @ProtoNumber(10) val loads: List<LoadMessage> = emptyList(),
 ) {
     companion object {
         /** Most targets in a message, those with the most requests, so that it fits into a datagram. */
@@ -59,6 +64,27 @@
     @ProtoNumber(5) val longRequests: Int,
 )
 
+/** Load that the run [run] of a target stated [ageMillis] before the message was sent: [running] and [waiting] requests, and its [slots]. */
+@Serializable
+internal class LoadMessage(
+    @ProtoNumber(1) val target: String,
+    @ProtoNumber(2) val run: String,
+    @ProtoNumber(3) val running: Int,
+    @ProtoNumber(4) val waiting: Int,
+    @ProtoNumber(5) val slots: Int,
+    @ProtoNumber(6) val ageMillis: Int,
+) {
+    val isPlausible: Boolean
+        get() = running in 0..MAX_REQUESTS && waiting in 0..MAX_REQUESTS && slots in 1..MAX_REQUESTS && ageMillis >= 0
+
+    val load get() = ReportedLoad(running, waiting, slots)
+
+    companion object {
+        fun of(report: TargetReport) =
+            with(report) { LoadMessage(target.value, run.value, load.running, load.waiting, load.slots, ageMillis.toInt()) }
+    }
+}
+
 /** Decodes a datagram; returns null if it isn't a message with plausible values. */
 internal fun decodeMessage(bytes: ByteArray): WorkMessage? {
     val message =
@@ -72,7 +98,9 @@
 }
 
 private val WorkMessage.isPlausible: Boolean
-    get() = targets.all { it.isPlausible } && penalties.all { it.millis >= 0 } && quarantine?.isPlausible != false
+    get() =
+        targets.all { it.isPlausible } && penalties.all { it.millis >= 0 } && quarantine?.isPlausible != false &&
+            loads.size <= LoadReports.MAX_REPORTED && loads.all { it.isPlausible }
 
 private val TargetWork.isPlausible: Boolean
     get() = active in 0..MAX_REQUESTS && longRequests in 0..active && readingMillis >= 0 && heldTokens in 0..MAX_TOKENS
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkTracker.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkTracker.kt
@@ -1,6 +1,9 @@
 // Work in progress at each target: this daemon's own, and the last reported by each peer.
 package yuccaferry.gateway.peers
 
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import yuccaferry.model.MonotonicTime
 import yuccaferry.model.TargetId
 
@@ -48,6 +51,17 @@
         count(work, -1)
     }
 
+    /** Removes [work] of an attempt that was given up once the target must have noticed it. */
+    fun endLater(
+        work: Work,
+        scope: CoroutineScope,
+    ) {
+        scope.launch {
+            delay(ABANDONED_MILLIS)
+            end(work)
+        }
+    }
+
     private fun count(
         work: Work,
         change: Int,
@@ -158,5 +172,8 @@
     private companion object {
         /** Longest time in milliseconds for which a message counts, whatever it states. */
         const val MAX_VALID_MILLIS = 10_000L
+
+        /** Milliseconds for which a target is assumed to work on a request after its connection was closed: several passes of an engine. */
+        const val ABANDONED_MILLIS = 500L
     }
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/port/RequestFormat.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/port/RequestFormat.kt
@@ -2,6 +2,7 @@
 package yuccaferry.gateway.port
 
 import io.netty.handler.codec.http.HttpHeaders
+import yuccaferry.decisions.dispatch.ReportedLoad
 import yuccaferry.decisions.forward.AttemptEnd
 import yuccaferry.gateway.net.Header
 import yuccaferry.gateway.net.IncomingRequest
@@ -79,6 +80,7 @@
  * @property hasNotRun whether the target states that it did not run the request.
  * @property faultyAddress `host:port` of the target at fault, if it is another one than the sender; otherwise null.
  * @property notice what the sender says about new work.
+ * @property load the sender's load in its own words; null if not stated.
  */
 class AnswerHead(
     val status: Int,
@@ -88,6 +90,7 @@
     val hasNotRun: Boolean,
     val faultyAddress: String?,
     val notice: TargetNotice,
+    val load: ReportedLoad? = null,
 ) {
     /** The end of an attempt whose target states that it did not run the request. */
     internal val rejection: AttemptEnd
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
@@ -93,6 +93,7 @@
                 is OwnAnswer.None -> return CallResult(own.end)
             }
         val stated = answer.stated
+        selector.recordAnswer(target, stated, loop.now())
         if (stated.hasNotRun) return CallResult(stated.rejection)
         val body = collectBody(connection, share) ?: return CallResult(AttemptEnd.Broken("answer incomplete or too large"))
         if (!stated.isSigned || stated.isEncoded) return CallResult(AttemptEnd.Broken("answer unsigned or encoded"))
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -2,7 +2,9 @@
 package yuccaferry.gateway.request
 
 import kotlinx.coroutines.withTimeoutOrNull
+import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.Telemetry
+import yuccaferry.decisions.dispatch.ReportedLoad
 import yuccaferry.decisions.forward.AttemptEnd
 import yuccaferry.decisions.forward.firstEventTimeoutMillis
 import yuccaferry.decisions.forward.mayPassOn
@@ -45,6 +47,11 @@
 ) {
     private val splitter = EventSplitter()
 
+    /** Whether the target may go on with the request after this attempt. */
+    private var isAbandoned = false
+
+    private var load: ReportedLoad? = null
+
     /** Time of the last event, or of the request before the first. */
     private var lastProgress = loop.now()
 
@@ -63,8 +70,7 @@
     private val reservations: List<MemoryReservation>
     private val opened = mutableListOf<MemoryReservation>()
 
-    /** Arrival times of this attempt's events. */
-    val timing = EventTiming(loop.now())
+    private val timing = EventTiming(loop.now())
 
     /** Whether more has arrived than the events of the target's first pass, in which it may crash under some prompts. */
     val hasBegun: Boolean get() = blocks >= BEGUN_BLOCKS
@@ -101,14 +107,18 @@
                 return AttemptEnd.Withheld
             }
             send(established)
-            return receiveAll(established, waitUntilDeadline)
+            return receiveAll(established, waitUntilDeadline).also { isAbandoned = it is AttemptEnd.TimedOut }
         } finally {
             connection?.close()
             opened.forEach { it.close() }
-            (helperWork + mainWork).forEach { workTracker.end(it) }
+            helperWork.forEach { workTracker.end(it) }
+            if (isAbandoned) workTracker.endLater(mainWork, loop.scope) else workTracker.end(mainWork)
         }
     }
 
+    /** Returns when events arrived, and the load that the target stated as `running/waiting/slots`, for the log. */
+    fun details(): Array<Field> = timing.fields() + Field("load", load?.let { "${it.running}/${it.waiting}/${it.slots}" })
+
     private suspend fun reserveAll(): Boolean {
         for (reservation in reservations) {
             if (memory.open(reservation) != ReserveResult.HELD) {
@@ -154,6 +164,8 @@
                 is OwnAnswer.None -> return own.end
             }
         val stated = answer.stated
+        selector.recordAnswer(placement.main, stated, loop.now())
+        load = stated.load
         return when {
             stated.hasNotRun -> reject(stated)
             !stated.isSigned || stated.isEncoded -> AttemptEnd.Broken("answer unsigned or encoded")
@@ -214,6 +226,7 @@
     ): AttemptEnd? {
         if (leavesGap(events)) return AttemptEnd.Broken("gap in event numbers")
         lastProgress = loop.now()
+        selector.recordActivity(placement.main, lastProgress)
         timing.record(lastProgress)
         blocks++
         if (blocks == 1) {
@@ -259,21 +272,26 @@
         connection: HttpClientConnection,
         waitUntilDeadline: Boolean,
     ): HttpResponsePart? {
-        // Bytes that complete no event don't extend the time.
-        val end = if (waitUntilDeadline) request.deadline else minOf(request.deadline, lastProgress + eventTimeoutMillis())
         val check = SilenceCheck(connector, telemetry, request, placement.main, firstCheckMillis())
-        while (loop.now() < end) {
-            connection.receive(minOf(end - loop.now(), check.pauseMillis))?.let { return it }
-            if (loop.now() < end && check.hasFailed()) return connection.receive(0) ?: HttpResponsePart.Broken("unreachable while silent")
+        while (loop.now() < timeout(waitUntilDeadline)) {
+            connection.receive(minOf(timeout(waitUntilDeadline) - loop.now(), check.pauseMillis))?.let { return it }
+            if (loop.now() < timeout(waitUntilDeadline) && check.hasFailed()) {
+                return connection.receive(0) ?: HttpResponsePart.Broken("unreachable while silent")
+            }
         }
         return null
     }
 
+    /** Returns the time until which the next event is waited for. Bytes that complete no event don't extend it. */
+    private fun timeout(waitUntilDeadline: Boolean): MonotonicTime =
+        if (waitUntilDeadline) request.deadline else minOf(request.deadline, lastProgress + eventTimeoutMillis())
+
     private fun firstCheckMillis(): Long = REACHABILITY_CHECK_MILLIS + if (isFirst) placement.plan.predictedMillis.toLong() else 0
 
     private fun eventTimeoutMillis(): Long {
         val predicted = placement.plan.predictedMillis.toLong()
-        return if (isFirst) firstEventTimeoutMillis(predicted, request.route) else GAP_TIMEOUT_MILLIS + GAP_TIMEOUT_FACTOR * predicted
+        if (isFirst) return firstEventTimeoutMillis(predicted, request.route, selector.isActiveSince(placement.main, lastProgress))
+        return GAP_TIMEOUT_MILLIS + GAP_TIMEOUT_FACTOR * predicted
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -59,7 +59,7 @@
             attempts.recordStart(placement.main, *inputs(request, placement, progress))
             val attempt = attemptOf(request, placement, figures, progress, reply, share, attempts)
             val end = attempt.run(waitUntilDeadline = isLast)
-            attempts.recordEnd(placement.main, end, attempt.faultyTarget ?: placement.main, *attempt.timing.fields())
+            attempts.recordEnd(placement.main, end, attempt.faultyTarget ?: placement.main, *attempt.details())
             recordOutcome(request, placement.main, attempt, end, reply.isComplete)
             if (reply.isComplete) return "answered:events_${progress.events}"
             if (!progress.isResumable || !attempts.canRetry(MAX_TARGETS)) break
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -3,11 +3,13 @@
 
 import yuccaferry.decisions.dispatch.Availability
 import yuccaferry.decisions.dispatch.EngineModel
+import yuccaferry.decisions.dispatch.LoadReports
 import yuccaferry.decisions.dispatch.PeerReports
 import yuccaferry.decisions.dispatch.Prompt
 import yuccaferry.decisions.dispatch.ShortPool
 import yuccaferry.decisions.dispatch.StreamPlacement
 import yuccaferry.decisions.dispatch.StreamPlan
+import yuccaferry.decisions.dispatch.TargetActivity
 import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.dispatch.TargetLoad
 import yuccaferry.decisions.dispatch.placeCall
@@ -15,6 +17,7 @@
 import yuccaferry.decisions.routing.ServiceDefinition
 import yuccaferry.gateway.GatewayLimits
 import yuccaferry.gateway.peers.WorkTracker
+import yuccaferry.gateway.port.AnswerHead
 import yuccaferry.gateway.view.FleetView
 import yuccaferry.gateway.view.Target
 import yuccaferry.gateway.view.UsableTargets
@@ -23,6 +26,7 @@
 import yuccaferry.model.ServiceName
 import yuccaferry.model.TargetId
 import yuccaferry.model.ZoneName
+import kotlin.math.roundToInt
 import kotlin.random.Random
 
 /** Selects targets for requests that arrive at the daemon [own] in [zone]. */
@@ -31,6 +35,8 @@
     private val workTracker: WorkTracker,
     private val health: TargetHealth,
     private val reports: PeerReports,
+    private val loads: LoadReports,
+    private val activity: TargetActivity,
     private val notices: TargetNotices,
     own: DaemonName,
     private val zone: ZoneName,
@@ -110,6 +116,30 @@
         now: MonotonicTime,
     ) = coldSends.record(target, now)
 
+    /** Records that [target] answered an attempt with [answer]. */
+    fun recordAnswer(
+        target: Target,
+        answer: AnswerHead,
+        now: MonotonicTime,
+    ) {
+        recordActivity(target, now)
+        val load = answer.load ?: return
+        val known = workTracker.totalsAt(target.id, now).active - if (answer.hasNotRun) 1 else 0
+        loads.record(target.id, target.incarnation, load, known, now)
+    }
+
+    /** Records that [target] sent something. */
+    fun recordActivity(
+        target: Target,
+        now: MonotonicTime,
+    ) = activity.record(target.id, target.incarnation, now)
+
+    /** Returns whether [target] has sent anything to this daemon or a peer since [time]. */
+    fun isActiveSince(
+        target: Target,
+        time: MonotonicTime,
+    ): Boolean = activity.hasSentSince(target.id, target.incarnation, time)
+
     /** Searches the engines whose work is known first, and all engines only if that finds no good placement. */
     private fun place(
         search: PlacementSearch,
@@ -197,7 +227,7 @@
         return TargetLoad(
             id = target.id,
             zone = target.zone,
-            active = totals.active,
+            active = totals.active + loads.unaccounted(target.id, target.incarnation, now).roundToInt(),
             remainingPrefillMillis = totals.remainingPrefillMillis,
             heldTokens = totals.heldTokens,
             longRequests = totals.longRequests,
--- a/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerBytesTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerBytesTest.kt
@@ -121,6 +121,10 @@
                 WorkMessage("d", 1, 1, listOf(TargetWork("t", 1, -1, 0, 0)), 1),
                 WorkMessage("d", 1, 1, listOf(TargetWork("t", 1, 0, 0, 2)), 1),
                 WorkMessage("d", 1, 1, penalties = listOf(ReportedPenalty("t", "1", -1))),
+                WorkMessage("d", 1, 1, loads = listOf(LoadMessage("t", "1", running = -1, waiting = 0, slots = 8, ageMillis = 0))),
+                WorkMessage("d", 1, 1, loads = listOf(LoadMessage("t", "1", running = 1, waiting = 0, slots = 0, ageMillis = 0))),
+                WorkMessage("d", 1, 1, loads = listOf(LoadMessage("t", "1", running = 1, waiting = 0, slots = 8, ageMillis = -1))),
+                WorkMessage("d", 1, 1, loads = List(17) { LoadMessage("t$it", "1", running = 1, waiting = 0, slots = 8, ageMillis = 0) }),
             )
         for ((number, message) in messages.withIndex()) assertNull(decodeMessage(ProtoBuf.encodeToByteArray(message)), "message $number")
     }
--- a/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerLinkTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerLinkTest.kt
@@ -4,7 +4,9 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.daemon.port.NoTelemetry
+import yuccaferry.decisions.dispatch.LoadReports
 import yuccaferry.decisions.dispatch.PeerReports
+import yuccaferry.decisions.dispatch.TargetActivity
 import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.quarantine.CrashedRun
 import yuccaferry.decisions.quarantine.PartAge
@@ -36,7 +38,19 @@
         val name: String,
     ) {
         val quarantine = PromptQuarantine()
-        val link = PeerLink(loop, DaemonName(name), zone, WorkTracker(), TargetHealth(), PeerReports(), quarantine, NoTelemetry)
+        val link =
+            PeerLink(
+                loop,
+                DaemonName(name),
+                zone,
+                WorkTracker(),
+                TargetHealth(),
+                PeerReports(),
+                LoadReports(),
+                TargetActivity(),
+                quarantine,
+                NoTelemetry,
+            )
         val member = Member(DaemonName(name), freeAddress().also { onLoop { link.open(it) } }, zone)
 
         fun findsDeadlyPart() = quarantine.find(listOf(deadly), loop.now()) != null
--- a/gateway/src/test/kotlin/yuccaferry/gateway/request/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/request/TargetSelectorTest.kt
@@ -3,7 +3,10 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import org.junit.jupiter.api.Nested
 import yuccaferry.daemon.port.NoTelemetry
+import yuccaferry.decisions.dispatch.LoadReports
 import yuccaferry.decisions.dispatch.PeerReports
+import yuccaferry.decisions.dispatch.ReportedLoad
+import yuccaferry.decisions.dispatch.TargetActivity
 import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.routing.EngineFigures
 import yuccaferry.decisions.routing.RequestKind
@@ -15,7 +18,9 @@
 import yuccaferry.gateway.net.IncomingRequest
 import yuccaferry.gateway.peers.Work
 import yuccaferry.gateway.peers.WorkTracker
+import yuccaferry.gateway.port.AnswerHead
 import yuccaferry.gateway.port.RequestHead
+import yuccaferry.gateway.port.TargetNotice
 import yuccaferry.gateway.view.FleetView
 import yuccaferry.gateway.view.Member
 import yuccaferry.gateway.view.Target
@@ -46,7 +51,9 @@
     private val limits = { GatewayLimits(1.5, 5.0, 0.2, 260.0, 10.0, 8.0) }
     private val loop = EventLoop()
     private val notices = TargetNotices(loop, own, NoTelemetry)
-    private val selector = TargetSelector(fleet, workTracker, health, PeerReports(), notices, own, zones.first(), limits, Random(1))
+    private val loads = LoadReports()
+    private val selector =
+        TargetSelector(fleet, workTracker, health, PeerReports(), loads, TargetActivity(), notices, own, zones.first(), limits, Random(1))
     private val figures = EngineFigures(10, 405_000, 1.31, 0.000917, 0.00213, 154.0, 0.162, 2_048, 53)
 
     init {
@@ -113,6 +120,37 @@
         }
     }
 
+    @Nested
+    inner class `when engines say that they are full` {
+        private fun stateFull(number: Int) {
+            val load = ReportedLoad(running = 10, waiting = 6, slots = 10)
+            loads.record(id(zones[0], number), Incarnation("1"), load, known = 0, now)
+        }
+
+        @Test
+        fun `short prompts avoid them although nobody told of their requests`() {
+            repeat(4) { stateFull(it) }
+            val full = (0..3).map { id(zones[0], it) }.toSet()
+            assertTrue((1..100).none { assertNotNull(place()).main.id in full })
+        }
+
+        @Test
+        fun `short prompts go to another zone once all of the zone are`() {
+            repeat(ENGINES) { stateFull(it) }
+            assertTrue(zones[0] !in zonesOf())
+        }
+
+        @Test
+        fun `an answer that rejects a request doesn't count it as work of the target`() {
+            val target = fleet.usable(service).inZone(zones[0]).first()
+            workTracker.begin(Work(target.id, tokens = 1, isLong = false, prefillMillis = 1.0, start = now))
+            val notice = TargetNotice(isLeaving = false, pauseMillis = null, invalidHeader = null)
+            val load = ReportedLoad(running = 10, waiting = 6, slots = 10)
+            selector.recordAnswer(target, AnswerHead(503, emptySet(), false, false, hasNotRun = true, null, notice, load), now)
+            assertEquals(16.0, loads.unaccounted(target.id, target.incarnation, now))
+        }
+    }
+
     @Nested
     inner class `when the engines of the zone are gone at once` {
         @Test
