--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/ShortPool.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/ShortPool.kt
@@ -50,7 +50,7 @@
         private const val MAX_SHARE = 0.7
 
         /** Engines compared for one prompt: few enough that daemons with the same knowledge seldom choose the same engine. */
-        private const val SAMPLED_ENGINES = 3
+        const val SAMPLED_ENGINES = 3
 
         /** Factor between the pools of two zones that is assumed not to be exceeded. */
         private const val FOREIGN_MARGIN = 1.5
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -150,13 +150,27 @@
         val pool = ShortPool.of(shortRequests(usable, search.now), known.size, maxOf(1, known.first().slots))
         val first = search.among(if (search.isLong) known else pool.sample(known, random)) { loadOf(it, search.now) }
         if (first != null && search.isGood(first.plan)) return first
+        val foreign = usable.all - known.toSet()
+        val others = if (search.isLong) known + foreign else known.shuffled(random) + foreignSample(usable, known)
         val assumedActive = assumedActive(usable, known, pool)
-        return search.among(known + (usable.all - known.toSet())) { target ->
+        return search.among(others) { target ->
             val load = loadOf(target, search.now)
             load.copy(active = maxOf(load.active, assumedActive[target.id] ?: 0))
         }
     }
 
+    /**
+     * A few random targets of each zone that the [known] ones don't belong to. Daemons with the same assumptions about other zones would
+     * otherwise all choose the same target there.
+     */
+    private fun foreignSample(
+        usable: UsableTargets,
+        known: List<Target>,
+    ): List<Target> {
+        if (workTracker.isComplete) return (usable.all - known.toSet()).shuffled(random)
+        return (usable.zones - known.first().zone).flatMap { usable.inZone(it).shuffled(random).take(ShortPool.SAMPLED_ENGINES) }
+    }
+
     /** Targets whose short prompts are known, all of them in a small fleet, otherwise those of one zone; without [failing] zones. */
     private fun knownTargets(
         usable: UsableTargets,
--- a/gateway/src/test/kotlin/yuccaferry/gateway/request/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/request/TargetSelectorTest.kt
@@ -140,6 +140,13 @@
             assertTrue(zones[0] !in zonesOf())
         }
 
+        @Test
+        fun `short prompts are spread over the engines of other zones, of which daemons know as little as each other`() {
+            repeat(ENGINES) { stateFull(it) }
+            val chosen = (1..200).map { assertNotNull(place()).main.id }.groupingBy { it }.eachCount()
+            assertTrue(chosen.values.max() <= 200 / 10, "$chosen")
+        }
+
         @Test
         fun `an answer that rejects a request doesn't count it as work of the target`() {
             val target = fleet.usable(service).inZone(zones[0]).first()
