Look beyond the pool before the last slots of an engine

Cause: a short prompt accepted any engine of its sample with one free slot by this daemon's belief, which lags; engines with seven of eight slots believed taken were full.

Change: a prompt is satisfied with two free slots; else more engines of the pool, engines kept for long prompts and a few of other zones are compared, and the cost of the last free slots rises with the square. ShortBurstTest's policy searches as the product does.

--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/ShortPool.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/ShortPool.kt
@@ -24,6 +24,12 @@
         random: Random,
     ): List<T> = engines.take(size).shuffled(random).take(SAMPLED_ENGINES)
 
+    /** Returns more random engines of [engines], among them those kept for long prompts, for when the sampled ones may be full. */
+    fun <T> widen(
+        engines: List<T>,
+        random: Random,
+    ): List<T> = engines.take(size).shuffled(random).take(SAMPLED_ENGINES) + engines.drop(size).shuffled(random).take(SAMPLED_ENGINES)
+
     /** Returns the part of a list of [engines] in another zone that short prompts may have, whose number there is not known. */
     fun assumedSizeOf(engines: Int): Int = minOf((size * FOREIGN_MARGIN).toInt(), ceil(engines * MAX_SHARE).toInt())
 
--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -83,16 +83,22 @@
         plan: StreamPlan,
     ): Boolean = plan.predictedMillis < prompt.remainingMillis
 
-    /** Returns whether [plan] makes [prompt] on time without meeting a long prompt, a full engine or one that failed recently. */
+    /**
+     * Returns whether [plan] makes [prompt] on time without meeting a long prompt, an engine that failed recently or one with fewer than
+     * [freeSlots] slots left. Other daemons may have sent requests there that aren't known yet, so the last slots are seldom free.
+     */
     fun isUncontended(
         prompt: Prompt,
         plan: StreamPlan,
+        freeSlots: Int = 1,
     ): Boolean {
         val main = plan.main
         val isOnTime = prompt.waitedMillis + plan.predictedMillis + main.penaltyMillis <= prompt.latencyTargetMillis
-        return isOnTime && main.longRequests == 0 && main.active < main.slots && !shouldWait(prompt, plan)
+        return isOnTime && main.longRequests == 0 && main.active <= main.slots - freeSlots && !shouldWait(prompt, plan)
     }
 
+    private val TargetLoad.packedRequests get() = (slots * PACKED_SHARE).toInt()
+
     private fun placeShort(
         prompt: Prompt,
         engines: List<TargetLoad>,
@@ -110,10 +116,15 @@
     }
 
     private fun shortCost(engine: TargetLoad): Double {
-        val packed = (engine.slots * PACKED_SHARE).toInt()
-        val crowding = if (engine.active >= packed) (engine.active - packed + 1) * CROWDING_COST_MILLIS else 0.0
-        val full = if (engine.active >= engine.slots) FULL_COST_MILLIS else 0.0
-        return engine.remainingPrefillMillis + engine.longRequests * LONG_REQUEST_COST_MILLIS + crowding + full + engine.penaltyMillis
+        val longMillis = engine.longRequests * LONG_REQUEST_COST_MILLIS
+        return engine.remainingPrefillMillis + longMillis + crowdingCost(engine) + engine.penaltyMillis
+    }
+
+    private fun crowdingCost(engine: TargetLoad): Double {
+        val crowding = (engine.active - engine.packedRequests + 1) * CROWDING_COST_MILLIS
+        if (crowding <= 0) return 0.0
+        val free = engine.slots - engine.active
+        return crowding + if (free <= 0) FULL_COST_MILLIS else FULL_RISK_MILLIS / (free * free)
     }
 
     private companion object {
@@ -126,6 +137,12 @@
         /** Cost of each request beyond the packed share. */
         const val CROWDING_COST_MILLIS = 8.0
 
+        /**
+         * Cost of an engine with one free slot: half of the time until the next slot is free, as another daemon may take it meanwhile. The
+         * risk decreases with the square of the free slots.
+         */
+        const val FULL_RISK_MILLIS = 140.0
+
         /** Cost of each long request in prefill or decode on the engine. */
         const val LONG_REQUEST_COST_MILLIS = 60.0
     }
--- a/decisions/src/test/kotlin/yuccaferry/decisions/load/LargeSite.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/load/LargeSite.kt
@@ -28,13 +28,15 @@
 
     val placement = StreamPlacement(EngineModel(figures))
 
-    /** Places short prompts in the pool and others on all engines. */
+    /** Places short prompts in the pool, or on other engines if none there is good; and long prompts on all engines. */
     val pooled =
         ZonePolicy { prompt, view, random ->
             val pool = ShortPool.of(view.shortRequests, view.engines.size, figures.slots)
-            val sampled = if (placement.isLong(prompt.promptTokens)) null else pool.sample(view.engines, random)
+            val isLong = placement.isLong(prompt.promptTokens)
+            val sampled = if (isLong) null else pool.sample(view.engines, random)
             val plan = sampled?.let { placement.place(prompt, it, random.nextDouble()) }
-            plan?.takeIf { placement.isUncontended(prompt, it) } ?: placement.place(prompt, view.engines, random.nextDouble())
+            val others = if (isLong) view.engines else pool.widen(view.engines, random) + sampled.orEmpty()
+            plan?.takeIf { placement.isUncontended(prompt, it, freeSlots = 2) } ?: placement.place(prompt, others, random.nextDouble())
         }
 
     /** Short prompts, [perSecond] of them by the time in milliseconds. */
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -148,10 +148,15 @@
         val known = knownTargets(usable, failingZones(search, usable))
         if (known.isEmpty()) return null
         val pool = ShortPool.of(shortRequests(usable, search.now), known.size, maxOf(1, known.first().slots))
-        val first = search.among(if (search.isLong) known else pool.sample(known, random)) { loadOf(it, search.now) }
+        val firstSearched = if (search.isLong) known else pool.sample(known, random)
+        val first = search.among(firstSearched) { loadOf(it, search.now) }
         if (first != null && search.isGood(first.plan)) return first
-        val foreign = usable.all - known.toSet()
-        val others = if (search.isLong) known + foreign else known.shuffled(random) + foreignSample(usable, known)
+        val others =
+            if (search.isLong) {
+                known + (usable.all - known.toSet())
+            } else {
+                (firstSearched + pool.widen(known, random) + foreignSample(usable, known)).distinct()
+            }
         val assumedActive = assumedActive(usable, known, pool)
         return search.among(others) { target ->
             val load = loadOf(target, search.now)
@@ -168,7 +173,10 @@
         known: List<Target>,
     ): List<Target> {
         if (workTracker.isComplete) return (usable.all - known.toSet()).shuffled(random)
-        return (usable.zones - known.first().zone).flatMap { usable.inZone(it).shuffled(random).take(ShortPool.SAMPLED_ENGINES) }
+        return (usable.zones - known.first().zone).flatMap { zone ->
+            val engines = usable.inZone(zone)
+            List(ShortPool.SAMPLED_ENGINES) { engines.random(random) }.distinct()
+        }
     }
 
     /** Targets whose short prompts are known, all of them in a small fleet, otherwise those of one zone; without [failing] zones. */
@@ -286,12 +294,15 @@
         }
 
         /** Returns whether [plan] is as good as one on any other engine would be likely to be. */
-        fun isGood(plan: StreamPlan): Boolean = streamPlacement.isUncontended(prompt, plan)
+        fun isGood(plan: StreamPlan): Boolean = streamPlacement.isUncontended(prompt, plan, FREE_SLOTS)
     }
 
     private companion object {
         /** Failing targets of one zone from which on the zone is avoided. */
         const val FAILING_TARGETS = 3
+
+        /** Free slots of an engine from which on no other one is looked for: one may be taken by a request that isn't known yet. */
+        const val FREE_SLOTS = 2
     }
 }
 
