--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -3,11 +3,13 @@
 
 import yuccaferry.decisions.dispatch.Availability
 import yuccaferry.decisions.dispatch.EngineModel
+import yuccaferry.decisions.dispatch.LoadReports
 import yuccaferry.decisions.dispatch.PeerReports
 import yuccaferry.decisions.dispatch.Prompt
 import yuccaferry.decisions.dispatch.ShortPool
 import yuccaferry.decisions.dispatch.StreamPlacement
 import yuccaferry.decisions.dispatch.StreamPlan
+import yuccaferry.decisions.dispatch.TargetActivity
 import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.dispatch.TargetLoad
 import yuccaferry.decisions.dispatch.placeCall
@@ -15,6 +17,7 @@
 import yuccaferry.decisions.routing.ServiceDefinition
 import yuccaferry.gateway.GatewayLimits
 import yuccaferry.gateway.peers.WorkTracker
+import yuccaferry.gateway.port.AnswerHead
 import yuccaferry.gateway.view.FleetView
 import yuccaferry.gateway.view.Target
 import yuccaferry.gateway.view.UsableTargets
@@ -23,6 +26,7 @@
 import yuccaferry.model.ServiceName
 import yuccaferry.model.TargetId
 import yuccaferry.model.ZoneName
+import kotlin.math.roundToInt
 import kotlin.random.Random
 
 /** Selects targets for requests that arrive at the daemon [own] in [zone]. */
@@ -31,6 +35,8 @@
     private val workTracker: WorkTracker,
     private val health: TargetHealth,
     private val reports: PeerReports,
+    private val loads: LoadReports,
+    private val activity: TargetActivity,
     private val notices: TargetNotices,
     own: DaemonName,
     private val zone: ZoneName,
@@ -110,6 +116,30 @@
         now: MonotonicTime,
     ) = coldSends.record(target, now)
 
+    /** Records that [target] answered an attempt with [answer]. */
+    fun recordAnswer(
+        target: Target,
+        answer: AnswerHead,
+        now: MonotonicTime,
+    ) {
+        recordActivity(target, now)
+        val load = answer.load ?: return
+        val known = workTracker.totalsAt(target.id, now).active - if (answer.hasNotRun) 1 else 0
+        loads.record(target.id, target.incarnation, load, known, now)
+    }
+
+    /** Records that [target] sent something. */
+    fun recordActivity(
+        target: Target,
+        now: MonotonicTime,
+    ) = activity.record(target.id, target.incarnation, now)
+
+    /** Returns whether [target] has sent anything to this daemon or a peer since [time]. */
+    fun isActiveSince(
+        target: Target,
+        time: MonotonicTime,
+    ): Boolean = activity.hasSentSince(target.id, target.incarnation, time)
+
     /** Searches the engines whose work is known first, and all engines only if that finds no good placement. */
     private fun place(
         search: PlacementSearch,
@@ -118,15 +148,37 @@
         val known = knownTargets(usable, failingZones(search, usable))
         if (known.isEmpty()) return null
         val pool = ShortPool.of(shortRequests(usable, search.now), known.size, maxOf(1, known.first().slots))
-        val first = search.among(if (search.isLong) known else pool.sample(known, random)) { loadOf(it, search.now) }
+        val firstSearched = if (search.isLong) known else pool.sample(known, random)
+        val first = search.among(firstSearched) { loadOf(it, search.now) }
         if (first != null && search.isGood(first.plan)) return first
+        val others =
+            if (search.isLong) {
+                known + (usable.all - known.toSet())
+            } else {
+                (firstSearched + pool.widen(known, random) + foreignSample(usable, known)).distinct()
+            }
         val assumedActive = assumedActive(usable, known, pool)
-        return search.among(known + (usable.all - known.toSet())) { target ->
+        return search.among(others) { target ->
             val load = loadOf(target, search.now)
             load.copy(active = maxOf(load.active, assumedActive[target.id] ?: 0))
         }
     }
 
+    /**
+     * A few random targets of each zone that the [known] ones don't belong to. Daemons with the same assumptions about other zones would
+     * otherwise all choose the same target there.
+     */
+    private fun foreignSample(
+        usable: UsableTargets,
+        known: List<Target>,
+    ): List<Target> {
+        if (workTracker.isComplete) return (usable.all - known.toSet()).shuffled(random)
+        return (usable.zones - known.first().zone).flatMap { zone ->
+            val engines = usable.inZone(zone)
+            List(ShortPool.SAMPLED_ENGINES) { engines.random(random) }.distinct()
+        }
+    }
+
     /** Targets whose short prompts are known, all of them in a small fleet, otherwise those of one zone; without [failing] zones. */
     private fun knownTargets(
         usable: UsableTargets,
@@ -197,7 +249,7 @@
         return TargetLoad(
             id = target.id,
             zone = target.zone,
-            active = totals.active,
+            active = totals.active + loads.unaccounted(target.id, target.incarnation, now).roundToInt(),
             remainingPrefillMillis = totals.remainingPrefillMillis,
             heldTokens = totals.heldTokens,
             longRequests = totals.longRequests,
@@ -242,12 +294,15 @@
         }
 
         /** Returns whether [plan] is as good as one on any other engine would be likely to be. */
-        fun isGood(plan: StreamPlan): Boolean = streamPlacement.isUncontended(prompt, plan)
+        fun isGood(plan: StreamPlan): Boolean = streamPlacement.isUncontended(prompt, plan, FREE_SLOTS)
     }
 
     private companion object {
         /** Failing targets of one zone from which on the zone is avoided. */
         const val FAILING_TARGETS = 3
+
+        /** Free slots of an engine from which on no other one is looked for: one may be taken by a request that isn't known yet. */
+        const val FREE_SLOTS = 2
     }
 }
 
