Don't take an engine for slow when its own load explains a late first event

Change: a late first event counts only if the engine states that a quarter of its slots was free, or states no load.

--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/ReportedLoad.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/ReportedLoad.kt
@@ -18,4 +18,12 @@
 
     /** Whether every slot is taken. */
     val isFull: Boolean get() = waiting > 0 || running >= slots
+
+    /** Whether the target may have had no free slot a moment ago. */
+    val isBusy: Boolean get() = requests >= slots * BUSY_SHARE
+
+    private companion object {
+        /** Share of taken slots from which on a new request may have waited for one. */
+        const val BUSY_SHARE = 0.75
+    }
 }
--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/TargetHealth.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/TargetHealth.kt
@@ -66,7 +66,8 @@
 
     /**
      * Records that the first event came [observedMillis] after the request, [predictedMillis] having been predicted. What exceeds the
-     * usual error of predictions counts as a penalty, so that slow engines receive less work until they answer in time again.
+     * usual error of predictions counts as a penalty, so that slow engines receive less work until they answer in time again. An engine
+     * whose own [load] explains the delay is not slow; its load keeps work away from it for as long as it lasts.
      */
     fun recordFirstEvent(
         target: TargetId,
@@ -74,12 +75,14 @@
         predictedMillis: Double,
         observedMillis: Double,
         now: MonotonicTime,
+        load: ReportedLoad? = null,
     ) {
         val excess = observedMillis - predictedMillis * USUAL_ERROR_FACTOR - USUAL_ERROR_MILLIS
         if (excess <= 0) {
             lateness -= target
             return
         }
+        if (load?.isBusy == true) return
         val before = lateness[target]?.of(run, now) ?: 0.0
         lateness[target] = Score(run, minOf(before + excess, MAX_LATENESS_MILLIS), now, LATENESS_HALF_LIFE_MILLIS)
     }
--- a/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/TargetHealthTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/dispatch/TargetHealthTest.kt
@@ -19,6 +19,31 @@
         of: Incarnation = run,
     ) = health.penaltyMillis(target, of, start + millisLater)
 
+    @Nested
+    inner class `a target whose first event comes late` {
+        private fun recordLate(load: ReportedLoad?) =
+            health.recordFirstEvent(target, run, predictedMillis = 80.0, observedMillis = 900.0, start, load)
+
+        @Test
+        fun `gets a penalty when it had free slots`() {
+            recordLate(ReportedLoad(running = 3, waiting = 0, slots = 8))
+            assertEquals(640.0, penalty())
+        }
+
+        @Test
+        fun `gets a penalty when it states no load`() {
+            recordLate(load = null)
+            assertEquals(640.0, penalty())
+        }
+
+        @Test
+        fun `gets none when its queue explains the delay, so that it isn't avoided after the queue is gone`() {
+            recordLate(ReportedLoad(running = 8, waiting = 5, slots = 8))
+            recordLate(ReportedLoad(running = 7, waiting = 0, slots = 8))
+            assertEquals(0.0, penalty())
+        }
+    }
+
     @Nested
     inner class `a target that breaks off an answer` {
         @Test
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/AttemptTracker.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/AttemptTracker.kt
@@ -2,6 +2,7 @@
 package yuccaferry.gateway.request
 
 import yuccaferry.daemon.port.Field
+import yuccaferry.decisions.dispatch.ReportedLoad
 import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.forward.AttemptEnd
 import yuccaferry.decisions.forward.finalAnswer
@@ -53,11 +54,15 @@
             log.logStart(request, target, ends.size + 1, *inputs)
         }
 
-        /** Records that the first event from [target] arrived; [predictedMillis] is the time that was predicted for it. */
+        /**
+         * Records that the first event from [target] arrived; [predictedMillis] is the time that was predicted for it, and [load] what the
+         * target states of its load.
+         */
         fun recordFirstEvent(
             target: Target,
             predictedMillis: Double,
-        ) = health.recordFirstEvent(target.id, target.incarnation, predictedMillis, (loop.now() - start).toDouble(), loop.now())
+            load: ReportedLoad?,
+        ) = health.recordFirstEvent(target.id, target.incarnation, predictedMillis, (loop.now() - start).toDouble(), loop.now(), load)
 
         /** Records that the attempt at [target] ended; [faultyTarget] is the target at fault if it failed. */
         fun recordEnd(
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -42,7 +42,7 @@
     private val progress: StreamProgress,
     private val reply: HttpResponseWriter,
     private val share: BufferBudget.Share,
-    private val onFirstEvent: () -> Unit,
+    private val onFirstEvent: (ReportedLoad?) -> Unit,
     private val onBegun: () -> Unit,
 ) {
     private val splitter = EventSplitter()
@@ -231,7 +231,7 @@
         blocks++
         if (blocks == 1) {
             markPrefilled()
-            onFirstEvent()
+            onFirstEvent(load)
         }
         if (blocks == BEGUN_BLOCKS) onBegun()
         if (!reply.isStarted) reply.start(head.status, format.returnedHeaders(head.headers))
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -105,9 +105,9 @@
         progress,
         reply,
         share,
-        onFirstEvent = {
+        onFirstEvent = { load ->
             // The time of a prompt that is read in parts depends on several engines.
-            if (placement.helpers.isEmpty()) attempts.recordFirstEvent(placement.main, placement.plan.predictedMillis)
+            if (placement.helpers.isEmpty()) attempts.recordFirstEvent(placement.main, placement.plan.predictedMillis, load)
         },
         onBegun = { guard.recordAnswer(request) },
     )
