Take an answer that is cut under an unfinished request for broken

Cause: an answer without a length ends with its connection. When the target resets the connection while the request is still being written, the event loop writes before it reads. The failed write closes the channel without an exception in the pipeline, and the codec ends the open body there as at an orderly end. An end of the stream under an unfinished request was taken for the end of the answer too.

Change: the end of the connection ends an answer only if the request has been handed to the operating system. A failed write completes before the channel reports its end, so the check doesn't depend on their order.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpClientConnection.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpClientConnection.kt
@@ -30,6 +30,7 @@
 class HttpClientConnection internal constructor(
     private val channel: Channel,
     private val inbox: ResponseInbox,
+    private val reader: ResponseReader,
 ) {
     /** Whether the connection is open as far as this side has detected. */
     val isOpen: Boolean get() = channel.isActive
@@ -51,7 +52,7 @@
                 request.headers,
                 EmptyHttpHeaders.INSTANCE,
             )
-        channel.writeAndFlush(message)
+        reader.requestWrite = channel.writeAndFlush(message)
     }
 
     /**
@@ -79,8 +80,9 @@
         timeoutMillis: Long,
     ): HttpClientConnection? {
         val inbox = ResponseInbox(loop::now)
-        val future = begin(address, timeoutMillis, inbox)
-        return if (awaitFailure(future) == null) HttpClientConnection(future.channel(), inbox) else null
+        val reader = ResponseReader(inbox)
+        val future = begin(address, timeoutMillis, inbox, reader)
+        return if (awaitFailure(future) == null) HttpClientConnection(future.channel(), inbox, reader) else null
     }
 
     /** Connects to [address] and closes the connection; waits [timeoutMillis] at most. */
@@ -88,7 +90,8 @@
         address: InetSocketAddress,
         timeoutMillis: Long,
     ): Reachability {
-        val future = begin(address, timeoutMillis, ResponseInbox(loop::now))
+        val inbox = ResponseInbox(loop::now)
+        val future = begin(address, timeoutMillis, inbox, ResponseReader(inbox))
         return reachabilityOf(awaitFailure(future)).also { future.channel().close() }
     }
 
@@ -96,6 +99,7 @@
         address: InetSocketAddress,
         timeoutMillis: Long,
         inbox: ResponseInbox,
+        reader: ResponseReader,
     ): ChannelFuture =
         Bootstrap()
             .group(loop.group)
@@ -103,7 +107,7 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis.toInt().coerceAtLeast(1))
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
-            .handler(Pipeline(inbox))
+            .handler(Pipeline(inbox, reader))
             .connect(address)
 
     /** Like [ChannelFuture.awaitFailure], but closes the connection if the caller is cancelled. */
@@ -117,10 +121,10 @@
 
     private class Pipeline(
         private val inbox: ResponseInbox,
+        private val reader: ResponseReader,
     ) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             inbox.attach(channel)
-            val reader = ResponseReader(inbox)
             channel.pipeline().addLast(ResponseHeadLimit(reader))
             channel.pipeline().addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
             channel.pipeline().addLast(reader)
--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/ResponseReader.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/ResponseReader.kt
@@ -3,6 +3,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.HttpContent
@@ -23,6 +24,9 @@
     var heads = 0L
         private set
 
+    /** Ends when the request has been handed to the operating system, or can't be; null before it is sent. */
+    var requestWrite: ChannelFuture? = null
+
     /** Whether the head of the next final response is still to come. */
     var awaitsHead = true
         private set
@@ -42,7 +46,7 @@
                 return
             }
             if (part is HttpResponse) readHead(part)
-            if (part is HttpContent && !informational) readContent(part)
+            if (part is HttpContent && !informational) readContent(context, part)
             if (part is LastHttpContent) informational = false
         } finally {
             ReferenceCountUtil.release(message)
@@ -58,13 +62,22 @@
         inbox.add(HttpResponsePart.Head(status.code(), status.reasonPhrase(), head.headers()))
     }
 
-    private fun readContent(part: HttpContent) {
+    private fun readContent(
+        context: ChannelHandlerContext,
+        part: HttpContent,
+    ) {
         if (part.content().isReadable) inbox.add(HttpResponsePart.Piece(ByteBufUtil.getBytes(part.content())))
         if (part !is LastHttpContent) return
         awaitsHead = true
-        inbox.add(HttpResponsePart.End)
+        if (mayBeCut(context)) end(context, "connection ended before the request was written") else inbox.add(HttpResponsePart.End)
     }
 
+    /**
+     * Whether the response ends only because the connection does, and may be incomplete. A failed write closes the channel before the
+     * reset is read, so that its end looks orderly, and an orderly end under an unfinished request doesn't show that the response is whole.
+     */
+    private fun mayBeCut(context: ChannelHandlerContext) = !context.channel().isActive && requestWrite?.isSuccess != true
+
     override fun channelInactive(context: ChannelHandlerContext) = end(context, "closed")
 
     @Deprecated("Netty's own signature")
