Take an answer whose status isn't 100 to 599 for broken

Cause: the codec reads any number as a status. 000 became 0, was complete and signed, and went to the caller; so did 099, 600 and 999, and "+200" and "0200" became 200. The store's and an engine's answers with such a status counted as refusals, that is, as not executed.

Change: ResponseDecoder accepts three digits from 100 to 599 only. It takes the place of HttpClientCodec, whose decoder can't be extended, and keeps its rule for HEAD. The attempt is broken: the target is blamed, the request is repeated where its kind allows, and answered 502 otherwise. At the store and the engines' memory the outcome is unknown.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpClientConnection.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpClientConnection.kt
@@ -10,9 +10,9 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.EmptyHttpHeaders
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.coroutines.CancellationException
 import yuccaferry.model.MonotonicTime
@@ -31,6 +31,7 @@
     private val channel: Channel,
     private val inbox: ResponseInbox,
     private val reader: ResponseReader,
+    private val decoder: ResponseDecoder,
 ) {
     /** Whether the connection is open as far as this side has detected. */
     val isOpen: Boolean get() = channel.isActive
@@ -52,6 +53,7 @@
                 request.headers,
                 EmptyHttpHeaders.INSTANCE,
             )
+        decoder.requestMethod = message.method()
         reader.requestWrite = channel.writeAndFlush(message)
     }
 
@@ -81,8 +83,9 @@
     ): HttpClientConnection? {
         val inbox = ResponseInbox(loop::now)
         val reader = ResponseReader(inbox)
-        val future = begin(address, timeoutMillis, inbox, reader)
-        return if (awaitFailure(future) == null) HttpClientConnection(future.channel(), inbox, reader) else null
+        val decoder = ResponseDecoder()
+        val future = begin(address, timeoutMillis, Pipeline(inbox, reader, decoder))
+        return if (awaitFailure(future) == null) HttpClientConnection(future.channel(), inbox, reader, decoder) else null
     }
 
     /** Connects to [address] and closes the connection; waits [timeoutMillis] at most. */
@@ -91,15 +94,14 @@
         timeoutMillis: Long,
     ): Reachability {
         val inbox = ResponseInbox(loop::now)
-        val future = begin(address, timeoutMillis, inbox, ResponseReader(inbox))
+        val future = begin(address, timeoutMillis, Pipeline(inbox, ResponseReader(inbox), ResponseDecoder()))
         return reachabilityOf(awaitFailure(future)).also { future.channel().close() }
     }
 
     private fun begin(
         address: InetSocketAddress,
         timeoutMillis: Long,
-        inbox: ResponseInbox,
-        reader: ResponseReader,
+        pipeline: Pipeline,
     ): ChannelFuture =
         Bootstrap()
             .group(loop.group)
@@ -107,7 +109,7 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis.toInt().coerceAtLeast(1))
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
-            .handler(Pipeline(inbox, reader))
+            .handler(pipeline)
             .connect(address)
 
     /** Like [ChannelFuture.awaitFailure], but closes the connection if the caller is cancelled. */
@@ -122,23 +124,14 @@
     private class Pipeline(
         private val inbox: ResponseInbox,
         private val reader: ResponseReader,
+        private val decoder: ResponseDecoder,
     ) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             inbox.attach(channel)
             channel.pipeline().addLast(ResponseHeadLimit(reader))
-            channel.pipeline().addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+            channel.pipeline().addLast(decoder)
+            channel.pipeline().addLast(HttpRequestEncoder())
             channel.pipeline().addLast(reader)
         }
     }
-
-    private companion object {
-        /** Maximum bytes of a status line. */
-        const val MAX_LINE_BYTES = 4_096
-
-        /** Maximum bytes of all headers. */
-        const val MAX_HEADER_BYTES = 32_768
-
-        /** Maximum bytes of a body that the decoder passes on at once. */
-        const val MAX_CHUNK_BYTES = 65_536
-    }
 }
