Read what a target sent before it reset the connection

Cause: a failed write closed the connection at once. A refusal or an answer with a length that had arrived together with the reset was lost, and a target that refuses a long request without reading it counted as broken (502 for a booking) instead of "not run".

Change: a failed write ends only the output of the connection. The rest of the input is read without pauses, because the selector would otherwise report the connection as writable again and again; the kernel's receive buffer limits it. An answer without a length stays broken, since its request wasn't written.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpClientConnection.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpClientConnection.kt
@@ -109,6 +109,8 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis.toInt().coerceAtLeast(1))
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
+            // A failed write ends only the output, so that a response that the server sent before is still read.
+            .option(ChannelOption.AUTO_CLOSE, false)
             .handler(pipeline)
             .connect(address)
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/ResponseInbox.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/ResponseInbox.kt
@@ -16,6 +16,7 @@
     private val parts = Channel<HttpResponsePart>(Channel.UNLIMITED)
     private var connection: Connection? = null
     private var queuedBytes = 0
+    private var mayPause = true
 
     /** Arrival time of the last head or piece; null before the first. */
     var lastArrival: MonotonicTime? = null
@@ -30,12 +31,18 @@
         this.connection = connection
     }
 
+    /** Reads on without pauses after the sender has gone: what it sent before is in the kernel's receive buffer, which limits it. */
+    fun readToEnd() {
+        mayPause = false
+        connection?.config()?.isAutoRead = true
+    }
+
     /** Queues [part]; does nothing after [close]. */
     fun add(part: HttpResponsePart) {
         if (!parts.trySend(part).isSuccess) return
         if (part is HttpResponsePart.Head || part is HttpResponsePart.Piece) lastArrival = now()
         queuedBytes += part.queuedBytes
-        if (queuedBytes > PAUSE_BYTES) connection?.config()?.isAutoRead = false
+        if (mayPause && queuedBytes > PAUSE_BYTES) connection?.config()?.isAutoRead = false
     }
 
     /** Queues [reason] as the last part. */
--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/ResponseReader.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/ResponseReader.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelOutputShutdownEvent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
@@ -78,6 +79,14 @@
      */
     private fun mayBeCut(context: ChannelHandlerContext) = !context.channel().isActive && requestWrite?.isSuccess != true
 
+    override fun userEventTriggered(
+        context: ChannelHandlerContext,
+        event: Any,
+    ) {
+        if (event is ChannelOutputShutdownEvent) inbox.readToEnd()
+        context.fireUserEventTriggered(event)
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) = end(context, "closed")
 
     @Deprecated("Netty's own signature")
--- a/gateway/src/test/kotlin/yuccaferry/gateway/net/OpenEndedResponseTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/net/OpenEndedResponseTest.kt
@@ -6,6 +6,8 @@
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -62,6 +64,19 @@
         socket.close()
     }
 
+    /** Runs [action] while the event loop is busy, so that it then finds the effects of all of [action] at once. */
+    private fun whileLoopIsBusy(action: () -> Unit) {
+        val busy = CountDownLatch(1)
+        val done = CountDownLatch(1)
+        loop.group.next().execute {
+            busy.countDown()
+            done.await(WAIT_MILLIS, TimeUnit.MILLISECONDS)
+        }
+        busy.await()
+        action()
+        done.countDown()
+    }
+
     @Nested
     inner class `while the request is being written` {
         /** Guards against a write that fails before the reset is read, and closes the connection as if its end had been reached. */
@@ -74,6 +89,19 @@
         fun `an end of the stream breaks the response`() {
             assertIs<HttpResponsePart.Broken>(lastPart(LONG_BYTES) { it.shutdownOutput() })
         }
+
+        /** Guards against a response that has arrived and is lost because the request can't be written to its end. */
+        @Test
+        fun `a reset that arrives with a response of known length leaves that complete`() {
+            val (connection, socket) = send(LONG_BYTES)
+            whileLoopIsBusy {
+                socket.write("HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull")
+                reset(socket)
+            }
+            assertEquals(503, assertIs<HttpResponsePart.Head>(next(connection)).status)
+            assertIs<HttpResponsePart.Piece>(next(connection))
+            assertEquals(HttpResponsePart.End, next(connection))
+        }
     }
 
     @Nested
