Take a 205 with a body for broken

Cause: the codec reads the body of a 205 like any other, but never writes one (RFC 9110, section 15.3.6). The caller got a signed success without the body that the target had sent.

Change: a 205 with a body is no answer in the protocol; the attempt is broken. A 205 without one is passed on as before.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/ResponseReader.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/ResponseReader.kt
@@ -20,6 +20,7 @@
     private val inbox: ResponseInbox,
 ) : ChannelInboundHandlerAdapter() {
     private var informational = false
+    private var mustBeEmpty = false
 
     /** Number of heads of final responses so far. */
     var heads = 0L
@@ -58,6 +59,7 @@
         val status: HttpResponseStatus = head.status()
         informational = status.codeClass() == HttpStatusClass.INFORMATIONAL
         if (informational) return
+        mustBeEmpty = status == HttpResponseStatus.RESET_CONTENT
         awaitsHead = false
         heads++
         inbox.add(HttpResponsePart.Head(status.code(), status.reasonPhrase(), head.headers()))
@@ -67,6 +69,7 @@
         context: ChannelHandlerContext,
         part: HttpContent,
     ) {
+        if (mustBeEmpty && part.content().isReadable) return end(context, "body of an answer that has none")
         if (part.content().isReadable) inbox.add(HttpResponsePart.Piece(ByteBufUtil.getBytes(part.content())))
         if (part !is LastHttpContent) return
         awaitsHead = true
