Count answers in memory until their callers have taken them

Cause: the memory of a buffered answer was given back to the limit when the answer had been handed to the connection. What a slow caller hadn't read yet was held by the connection and counted nowhere, so that callers who read nothing could fill the heap with answers of up to 4 MiB each.

Evidence: SlowReaderTest, "takes memory from the limit for answers until it has read", failed before: with eight unread answers of 4 MiB (32 MiB, the limit) a ninth was served with 200 instead of 502.

Change: the share of the limit is given back when nothing of the answer is buffered in the process any more. Failures of streams that are buffered do the same.

Result: SlowReaderTest, LongBodiesTest and EndlessAnswerTest pass, run once.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpResponseWriter.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/net/HttpResponseWriter.kt
@@ -91,6 +91,11 @@
         checkNotNull(lastWrite).addListener { action(it.cause()) }
     }
 
+    /** Closes [memory] when none of the bytes written are buffered in this process any more, because they are sent or can't be. */
+    internal fun closeWhenSent(memory: AutoCloseable) {
+        lastWrite?.addListener { memory.close() } ?: memory.close()
+    }
+
     private fun fill(
         response: HttpResponse,
         headers: List<Header>,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
@@ -32,7 +32,15 @@
     suspend fun forward(
         request: AdmittedRequest,
         reply: HttpResponseWriter,
-    ): String = buffers.share().use { forward(request, reply, it) }
+    ): String {
+        val share = buffers.share()
+        try {
+            return forward(request, reply, share)
+        } finally {
+            // A caller that reads slowly leaves the answer in the memory of this process.
+            reply.closeWhenSent(share)
+        }
+    }
 
     private suspend fun forward(
         request: AdmittedRequest,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -41,7 +41,15 @@
         request: AdmittedRequest,
         kind: RequestKind.Stream,
         reply: HttpResponseWriter,
-    ): String = buffers.share().use { forward(request, kind, reply, it) }
+    ): String {
+        val share = buffers.share()
+        try {
+            return forward(request, kind, reply, share)
+        } finally {
+            // A caller that reads slowly leaves the answer in the memory of this process.
+            reply.closeWhenSent(share)
+        }
+    }
 
     private suspend fun forward(
         request: AdmittedRequest,
