Don't take a caller's pause for the silence of its target

Cause: the time of the last event was taken before the event was written to the caller. A write that waits for a slow caller used up the time in which the target's next event is due, and the attempt timed out without a look at the events that had arrived. The sound target was blamed and the request sent again.

Evidence: SlowReaderTest, "a stream goes on from the same target after its caller has read nothing ...", failed before: end=TimedOut after 2.6 s (longest_pause_ms=9 between the target's events), a second attempt, cut.

Change: the time counts from the end of the write.

Result: SlowReaderTest, InterruptedStreamTest, EndlessAnswerTest and EarlyAnswerTest pass, run once.

--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -225,6 +225,8 @@
         hasEvents = hasEvents || events.ids.isNotEmpty()
         progress.record(events)
         val taken = withTimeoutOrNull(request.deadline - loop.now()) { reply.write(events.bytes) }
+        // While the caller doesn't read, the target isn't read either: that time is no silence of the target.
+        lastProgress = loop.now()
         return if (taken == null) AttemptEnd.TimedOut else null
     }
 
