--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/TargetHealth.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/TargetHealth.kt
@@ -75,7 +75,7 @@
         observedMillis: Double,
         now: MonotonicTime,
     ) {
-        val excess = observedMillis - predictedMillis * USUAL_ERROR_FACTOR - USUAL_ERROR_MILLIS
+        val excess = excessMillis(predictedMillis, observedMillis)
         if (excess <= 0) {
             lateness -= target
             return
@@ -104,6 +104,17 @@
     }
 
     companion object {
+        /** Returns whether a first event after [observedMillis] came later than by the usual error of a prediction of [predictedMillis]. */
+        fun isLate(
+            predictedMillis: Double,
+            observedMillis: Double,
+        ): Boolean = excessMillis(predictedMillis, observedMillis) > 0
+
+        private fun excessMillis(
+            predictedMillis: Double,
+            observedMillis: Double,
+        ) = observedMillis - predictedMillis * USUAL_ERROR_FACTOR - USUAL_ERROR_MILLIS
+
         /** Penalty in ms of a target that can't be reached. */
         const val UNREACHABLE_MILLIS = 6_000.0
 
--- a/decisions/src/test/kotlin/yuccaferry/decisions/load/EmulatedEngine.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/load/EmulatedEngine.kt
@@ -30,6 +30,9 @@
     private val model: EngineModel,
     var slowness: Double = 1.0,
 ) {
+    /** Factor on the engine's times at a time, for example while it warms up. */
+    var slownessAt: (Double) -> Double = { slowness }
+    private var frozenUntil = 0.0
     private val queue = ArrayDeque<EmulatedRequest>()
     private val running = mutableListOf<EmulatedRequest>()
     private var nextPassEnd = Double.MAX_VALUE
@@ -54,6 +57,19 @@
         if (nextPassEnd == Double.MAX_VALUE) startPass(now)
     }
 
+    /** Ends no pass before [until]. */
+    fun freeze(until: Double) {
+        frozenUntil = until
+        if (nextPassEnd < until) nextPassEnd = until
+    }
+
+    /** Drops all requests, as a crash does. */
+    fun clear() {
+        queue.clear()
+        running.clear()
+        nextPassEnd = Double.MAX_VALUE
+    }
+
     /** Ends the pass that is due at [now] and starts the next one; returns the requests that are complete. */
     fun advance(now: Double): List<EmulatedRequest> {
         readers.forEach { (request, millis) ->
@@ -99,6 +115,6 @@
         }
         readers = read
         val writeMillis = if (writers.isEmpty()) 0.0 else model.passMillis(writers.size, writers.sumOf { it.tokens })
-        nextPassEnd = now + (writeMillis + read.sumOf { it.second }) * slowness
+        nextPassEnd = maxOf(now, frozenUntil) + (writeMillis + read.sumOf { it.second }) * slownessAt(now)
     }
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -20,6 +20,7 @@
 import yuccaferry.gateway.net.LoopMonitor
 import yuccaferry.gateway.net.RequestHandler
 import yuccaferry.gateway.peers.PeerLink
+import yuccaferry.gateway.peers.TargetPaces
 import yuccaferry.gateway.peers.WorkTracker
 import yuccaferry.gateway.port.EngineMemory
 import yuccaferry.gateway.port.RequestFormat
@@ -68,12 +69,13 @@
     private val health = TargetHealth()
     private val reports = PeerReports()
     private val quarantine = PromptQuarantine()
+    private val paces = TargetPaces(workTracker, health, reports, telemetry)
 
     /** Exchanges messages with other daemons. */
-    val peers = PeerLink(loop, DaemonName(name), zone, workTracker, health, reports, quarantine, telemetry)
+    val peers = PeerLink(loop, DaemonName(name), zone, workTracker, health, reports, quarantine, telemetry, paces)
     private val connector = HttpClientConnector(loop)
-    private val selector = TargetSelector(fleet, workTracker, health, reports, notices, DaemonName(name), zone, limits, random)
-    private val tracker = AttemptTracker(loop, format, health, RetryPolicy(fleet, limits), AttemptLog(telemetry))
+    private val selector = TargetSelector(fleet, workTracker, health, reports, notices, DaemonName(name), zone, limits, random, paces)
+    private val tracker = AttemptTracker(loop, format, health, RetryPolicy(fleet, limits), AttemptLog(telemetry), paces)
     private val buffers = BufferBudget()
     private val calls = CallForwarder(loop, connector, format, selector, tracker, workTracker, notices, buffers)
     private val reservations = MemoryReservations(loop, memory, random)
@@ -95,6 +97,10 @@
             },
         )
 
+    init {
+        fleet.onTarget = { before, target -> paces.observe(before, target, loop.now()) }
+    }
+
     /** Number of caller connections on which a request is being received or answered. */
     val busyConnections: Int get() = callerServer.busyConnections
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
@@ -33,8 +33,8 @@
 import java.net.InetSocketAddress
 
 /**
- * Sends the work of the daemon [name] in [zone] from [workTracker], the penalties of [health] and the [quarantine] to its peers, and
- * records theirs.
+ * Sends the work of the daemon [name] in [zone] from [workTracker], the penalties of [health], the [quarantine] and the limits of [paces]
+ * to its peers, and records theirs.
  */
 class PeerLink internal constructor(
     private val loop: EventLoop,
@@ -45,6 +45,7 @@
     private val reports: PeerReports,
     private val quarantine: PromptQuarantine,
     private val telemetry: Telemetry,
+    private val paces: TargetPaces,
 ) {
     private val start = System.currentTimeMillis()
     private var sequence = 0L
@@ -77,6 +78,7 @@
         future.awaitFailure()?.let { throw it }
         channel = future.channel()
         workTracker.onChange = ::scheduleSends
+        paces.onNews = { nearSends.within(timing.batchMillis) }
     }
 
     /** Opens the socket at [address] again whenever it was closed; calls [onProgress] while it is open. */
@@ -147,10 +149,11 @@
         val open = channel ?: return
         if (receivers.isEmpty()) return
         val penalties = health.reportable(loop.now()).map { ReportedPenalty(it.target.value, it.run.value, it.millis.toInt()) }
+        val limits = paces.reports(loop.now()).map { PaceMessage.of(it) }
         val reports = quarantine.report(loop.now()).split(QuarantineMessage.MAX_PARTS)
         val first = reports.firstOrNull()?.let { QuarantineMessage.of(it) }
         val told = work.sortedByDescending { it.active }.take(WorkMessage.MAX_TARGETS)
-        val message = WorkMessage(name.value, start, ++sequence, told, repeatMillis * MISSED_REPEATS, penalties, first)
+        val message = WorkMessage(name.value, start, ++sequence, told, repeatMillis * MISSED_REPEATS, penalties, first, paces = limits)
         val addresses = receivers.map { it.peerAddress }
         (listOf(message) + additions(reports.drop(1))).forEach { send(open, addresses, it) }
         open.flush()
@@ -187,6 +190,7 @@
         if (!message.isAddition) workTracker.receive(message, now)
         val penalties = message.penalties.map { TargetPenalty(TargetId(it.target), Incarnation(it.run), it.millis.toDouble()) }
         reports.receive(DaemonName(message.daemon), penalties, now)
+        paces.receive(DaemonName(message.daemon), message.paces.map { it.toReport() }, now)
         message.quarantine?.let { quarantine.receive(it.toReport(), now) }
     }
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
@@ -15,6 +15,7 @@
  * @property penalties penalties of targets that failed or were late.
  * @property quarantine what the sender knows of prompts that crash targets; null if it knows of none.
  * @property isAddition whether the message only adds to what the sender reports of prompts, and leaves its work as it was.
+ * @property paces limits of targets that have just started or recovered.
  * @property validMillis time after which the work is no longer counted unless another message arrives.
  */
 @Serializable
@@ -27,6 +28,7 @@
     @ProtoNumber(6) val penalties: List<ReportedPenalty> = emptyList(),
     @ProtoNumber(7) val quarantine: QuarantineMessage? = null,
     @ProtoNumber(8) val isAddition: Boolean = false,
+    @ProtoNumber(9) val paces: List<PaceMessage> = emptyList(),
 ) {
     companion object {
         /** Most targets in a message, those with the most requests, so that it fits into a datagram. */
@@ -72,7 +74,7 @@
 }
 
 private val WorkMessage.isPlausible: Boolean
-    get() = targets.all { it.isPlausible } && penalties.all { it.millis >= 0 } && quarantine?.isPlausible != false
+    get() = targets.all { it.isPlausible } && penalties.all { it.millis >= 0 } && quarantine?.isPlausible != false && paces.all { it.isPlausible }
 
 private val TargetWork.isPlausible: Boolean
     get() = active in 0..MAX_REQUESTS && longRequests in 0..active && readingMillis >= 0 && heldTokens in 0..MAX_TOKENS
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/AttemptTracker.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/AttemptTracker.kt
@@ -8,6 +8,7 @@
 import yuccaferry.decisions.forward.wasSent
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.HttpResponseWriter
+import yuccaferry.gateway.peers.TargetPaces
 import yuccaferry.gateway.port.RequestFormat
 import yuccaferry.gateway.view.Target
 import yuccaferry.model.TargetId
@@ -19,6 +20,7 @@
     private val health: TargetHealth,
     private val retryPolicy: RetryPolicy,
     private val log: AttemptLog,
+    private val paces: TargetPaces,
 ) {
     /** Starts to track [request], of which nothing has been sent yet. */
     fun begin(request: AdmittedRequest): Attempts {
@@ -33,6 +35,7 @@
         private val ends = mutableListOf<AttemptEnd>()
         private var start = loop.now()
         private var isUnderWay = false
+        private var isTimed = false
 
         /** The target of each attempt so far; the helper instead if the helper was at fault. */
         val tried = mutableSetOf<TargetId>()
@@ -50,6 +53,7 @@
         ) {
             start = loop.now()
             isUnderWay = true
+            isTimed = false
             log.logStart(request, target, ends.size + 1, *inputs)
         }
 
@@ -57,7 +61,11 @@
         fun recordFirstEvent(
             target: Target,
             predictedMillis: Double,
-        ) = health.recordFirstEvent(target.id, target.incarnation, predictedMillis, (loop.now() - start).toDouble(), loop.now())
+        ) {
+            isTimed = true
+            paces.recordFirstEvent(target, predictedMillis, start, loop.now())
+            health.recordFirstEvent(target.id, target.incarnation, predictedMillis, (loop.now() - start).toDouble(), loop.now())
+        }
 
         /** Records that the attempt at [target] ended; [faultyTarget] is the target at fault if it failed. */
         fun recordEnd(
@@ -70,6 +78,7 @@
             isUnderWay = false
             tried += faultyTarget.id
             log.logEnd(request, target, end, start, loop.now(), *details)
+            paces.recordEnd(faultyTarget, end, isTimed, start, loop.now())
             health.record(faultyTarget, end, loop.now())
         }
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -11,9 +11,11 @@
 import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.dispatch.TargetLoad
 import yuccaferry.decisions.dispatch.placeCall
+import yuccaferry.decisions.limits.withinPace
 import yuccaferry.decisions.routing.EngineFigures
 import yuccaferry.decisions.routing.ServiceDefinition
 import yuccaferry.gateway.GatewayLimits
+import yuccaferry.gateway.peers.TargetPaces
 import yuccaferry.gateway.peers.WorkTracker
 import yuccaferry.gateway.view.FleetView
 import yuccaferry.gateway.view.Target
@@ -36,6 +38,7 @@
     private val zone: ZoneName,
     private val limits: () -> GatewayLimits,
     private val random: Random,
+    private val paces: TargetPaces,
 ) {
     private val coldSends = ColdSends(fleet, own, limits)
     private val placements = HashMap<EngineFigures, StreamPlacement>()
@@ -47,7 +50,7 @@
         tried: Set<TargetId>,
         now: MonotonicTime,
     ): Placement? {
-        val usable = openTargets(request.service.name, now)
+        val usable = withinPace(openTargets(request.service.name, now), now)
         val streamPlacement = streamPlacementFor(figures)
         val prompt =
             Prompt(
@@ -69,7 +72,7 @@
         tried: Set<TargetId>,
         now: MonotonicTime,
     ): Target? {
-        val targets = candidates(openTargets(service.name, now).all, service, tried, now)
+        val targets = candidates(withinPace(openTargets(service.name, now), now).all, service, tried, now)
         val chosen = placeCall(targets.map { loadOf(it, now) }, zone, random.nextDouble()) ?: return null
         return targets.first { it.id == chosen.id }
     }
@@ -104,6 +107,21 @@
         return UsableTargets(open.filter { workTracker.totalsAt(it.id, now).active < it.slots })
     }
 
+    /** Leaves out targets that have as many requests as they are allowed after a start or recovery, unless all have. */
+    private fun withinPace(
+        usable: UsableTargets,
+        now: MonotonicTime,
+    ): UsableTargets {
+        if (paces.isEmpty) return usable
+        val within =
+            withinPace(
+                usable.all,
+                isWithin = { target -> paces.allows(target, now) { loadOf(target, now).active } },
+                hasFreeSlot = { loadOf(it, now).active < it.slots },
+            )
+        return if (within.size == usable.all.size) usable else UsableTargets(within)
+    }
+
     /** Counts a request sent to [target] at [now] against the rate limit of cold targets. */
     fun recordSend(
         target: Target,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/view/FleetView.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/view/FleetView.kt
@@ -17,6 +17,9 @@
     private val unlisted = HashSet<TargetId>()
     private val usableTargets = HashMap<ServiceName, UsableTargets>()
 
+    /** Called with each target that was added or changed, and what was listed before: null if it is new. */
+    internal var onTarget: (Target?, Target) -> Unit = { _, _ -> }
+
     /** The newest configuration, or null before the first; never replaced by an older version. */
     var configuration: RoutingConfiguration? = null
         private set
@@ -84,6 +87,7 @@
         val before = targets[target.id]
         if (before != null && before.isSameAs(target) && target.id !in unlisted) return
         targets[target.id] = target
+        onTarget(before, target)
         unlisted -= target.id
         usableTargets.clear()
         if (before == null || before.isLeaving != target.isLeaving || before.incarnation != target.incarnation) {
--- a/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerBytesTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerBytesTest.kt
@@ -2,6 +2,9 @@
 
 import kotlinx.serialization.encodeToByteArray
 import kotlinx.serialization.protobuf.ProtoBuf
+import yuccaferry.decisions.dispatch.PeerReports
+import yuccaferry.decisions.limits.PaceReport
+import yuccaferry.decisions.limits.TargetPace
 import yuccaferry.decisions.quarantine.CrashedRun
 import yuccaferry.decisions.quarantine.PartAge
 import yuccaferry.decisions.quarantine.PromptCrash
@@ -26,6 +29,7 @@
             answered = listOf(PartAge(PromptPart("a"), 20)),
             quarantined = listOf(PartAge(PromptPart("b"), 7)),
         )
+    private val limit = PaceReport(TargetId("t"), Incarnation("1"), 3, 2, 8, 1, ageMillis = 40, leftMillis = 9_000)
     private val message =
         WorkMessage(
             daemon = "d",
@@ -35,6 +39,7 @@
             validMillis = 1_500,
             penalties = listOf(ReportedPenalty("t", "1", 900)),
             quarantine = QuarantineMessage.of(report),
+            paces = listOf(PaceMessage.of(limit)),
         )
     private val valid = ProtoBuf.encodeToByteArray(message)
 
@@ -79,6 +84,31 @@
         assertEquals(report, decodeMessage(valid)?.quarantine?.toReport())
     }
 
+    @Test
+    fun `a limit of a target arrives as it was sent`() {
+        assertEquals(listOf(limit), decodeMessage(valid)?.paces?.map { it.toReport() })
+    }
+
+    @Test
+    fun `a limit with values that no daemon has is refused`() {
+        val limits =
+            listOf(limit.copy(allowed = 0), limit.copy(allowed = 9), limit.copy(step = -1), limit.copy(confirmed = -1), limit.copy(ageMillis = -1))
+        for (implausible in limits) {
+            val bytes = ProtoBuf.encodeToByteArray(WorkMessage("d", 1, 1, paces = listOf(PaceMessage.of(implausible))))
+            assertNull(decodeMessage(bytes), "$implausible")
+        }
+    }
+
+    @Test
+    fun `the most work and limits that a message names fit into one datagram`() {
+        val id = "i-" + "0".repeat(10)
+        val work = List(WorkMessage.MAX_TARGETS) { TargetWork(id, 10, 20_000, 400_000, 2) }
+        val paces = List(TargetPace.MAX_REPORTS) { PaceMessage(id, "1790032395244", 20, 8, 16, 8, 5_000, 20_000) }
+        val penalties = List(PeerReports.MAX_PENALTIES) { ReportedPenalty(id, "1790032395244", 20_000) }
+        val bytes = ProtoBuf.encodeToByteArray(WorkMessage("front-some-zone-a-40", 1L shl 41, 1 shl 20, work, 1_500, penalties, paces = paces))
+        assertTrue(bytes.size <= PeerLink.MAX_DATAGRAM_BYTES, "found ${bytes.size} bytes")
+    }
+
     @Test
     fun `the pieces of a long report arrive as they were sent, each in one datagram`() {
         val parts = (0..299).map { PromptPart("part-$it") }
--- a/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerLinkTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerLinkTest.kt
@@ -14,9 +14,11 @@
 import yuccaferry.decisions.quarantine.promptPartOf
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.view.Member
+import yuccaferry.gateway.view.Target
 import yuccaferry.model.DaemonName
 import yuccaferry.model.Incarnation
 import yuccaferry.model.PromptPart
+import yuccaferry.model.ServiceName
 import yuccaferry.model.TargetId
 import yuccaferry.model.ZoneName
 import java.net.DatagramSocket
@@ -36,7 +38,11 @@
         val name: String,
     ) {
         val quarantine = PromptQuarantine()
-        val link = PeerLink(loop, DaemonName(name), zone, WorkTracker(), TargetHealth(), PeerReports(), quarantine, NoTelemetry)
+        private val workTracker = WorkTracker()
+        private val health = TargetHealth()
+        private val reports = PeerReports()
+        val paces = TargetPaces(workTracker, health, reports, NoTelemetry)
+        val link = PeerLink(loop, DaemonName(name), zone, workTracker, health, reports, quarantine, NoTelemetry, paces)
         val member = Member(DaemonName(name), freeAddress().also { onLoop { link.open(it) } }, zone)
 
         fun findsDeadlyPart() = quarantine.find(listOf(deadly), loop.now()) != null
@@ -105,6 +111,32 @@
         assertEquals(true, onLoop { other.findsDeadlyPart() })
     }
 
+    @Test
+    fun `a daemon is told of a target that has just started, and of the answers that it gave to others`() {
+        val peer = Peer("a")
+        val other = Peer("b")
+        val started = target("2")
+        onLoop {
+            for (each in listOf(peer, other)) each.link.setMembers(listOf(peer.member, other.member))
+            peer.paces.observe(target("1"), started, loop.now())
+            peer.paces.recordFirstEvent(started, predictedMillis = 50.0, sentAt = loop.now(), loop.now())
+            withTimeoutOrNull(WAIT_MILLIS) { while (other.paces.isEmpty) delay(POLL_MILLIS) }
+        }
+        assertEquals(listOf(false, true), onLoop { listOf(2, 1).map { active -> other.paces.allows(started, loop.now()) { active } } })
+    }
+
+    private fun target(run: String) =
+        Target(
+            TargetId("t"),
+            Incarnation(run),
+            ServiceName("s"),
+            freeAddress(),
+            zone,
+            slots = 8,
+            isLeaving = false,
+            coldUntil = Target.NOT_COLD,
+        )
+
     private companion object {
         /** Milliseconds to wait for datagrams on loopback, on a busy machine. */
         const val WAIT_MILLIS = 5_000L
--- a/gateway/src/test/kotlin/yuccaferry/gateway/request/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/request/TargetSelectorTest.kt
@@ -13,6 +13,7 @@
 import yuccaferry.gateway.GatewayLimits
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.IncomingRequest
+import yuccaferry.gateway.peers.TargetPaces
 import yuccaferry.gateway.peers.Work
 import yuccaferry.gateway.peers.WorkTracker
 import yuccaferry.gateway.port.RequestHead
@@ -46,7 +47,9 @@
     private val limits = { GatewayLimits(1.5, 5.0, 0.2, 260.0, 10.0, 8.0) }
     private val loop = EventLoop()
     private val notices = TargetNotices(loop, own, NoTelemetry)
-    private val selector = TargetSelector(fleet, workTracker, health, PeerReports(), notices, own, zones.first(), limits, Random(1))
+    private val reports = PeerReports()
+    private val paces = TargetPaces(workTracker, health, reports, NoTelemetry)
+    private val selector = TargetSelector(fleet, workTracker, health, reports, notices, own, zones.first(), limits, Random(1), paces)
     private val figures = EngineFigures(10, 405_000, 1.31, 0.000917, 0.00213, 154.0, 0.162, 2_048, 53)
 
     init {
@@ -156,6 +159,53 @@
         }
     }
 
+    @Nested
+    inner class `when an engine has just started` {
+        private fun start(
+            zone: ZoneName,
+            number: Int,
+        ) {
+            val target = fleet.usable(service).inZone(zone).first { it.id == id(zone, number) }
+            val restarted =
+                Target(target.id, Incarnation("2"), service, target.address, zone, target.slots, isLeaving = false, Target.NOT_COLD)
+            paces.observe(before = target, restarted, now)
+            fleet.putTarget(restarted)
+        }
+
+        private fun work(
+            zone: ZoneName,
+            number: Int,
+            requests: Int,
+        ) = repeat(requests) { workTracker.begin(Work(id(zone, number), 1_000, isLong = false, prefillMillis = 30.0, start = now)) }
+
+        private fun placesOf(times: Int) = (1..times).map { assertNotNull(place()).main.id }.toSet()
+
+        @Test
+        fun `it gets no more than it is allowed while other engines are free`() {
+            start(zones[0], 0)
+            assertTrue(id(zones[0], 0) in placesOf(times = 100))
+            work(zones[0], 0, requests = 2)
+            assertTrue(id(zones[0], 0) !in placesOf(times = 100))
+        }
+
+        @Test
+        fun `it gets requests again when all engines have what they are allowed`() {
+            for (zone in zones) repeat(ENGINES) { start(zone, it) }
+            for (zone in zones) repeat(ENGINES) { work(zone, it, requests = 2) }
+            assertNotNull(place())
+        }
+
+        @Test
+        fun `the others get no more than they process at once while half of the engines are held back`() {
+            for (zone in zones) repeat(ENGINES - 1) { start(zone, it) }
+            for (zone in zones) repeat(ENGINES - 1) { work(zone, it, requests = 2) }
+            val free = zones.map { id(it, ENGINES - 1) }.toSet()
+            assertTrue(free.containsAll(placesOf(times = 40)))
+            zones.forEach { work(it, ENGINES - 1, requests = 10) }
+            assertTrue(placesOf(times = 40).none { it in free })
+        }
+    }
+
     private companion object {
         const val ENGINES = 39
     }
