--- a/decisions/src/main/kotlin/yuccaferry/decisions/limits/TargetPace.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/limits/TargetPace.kt
@@ -45,6 +45,16 @@
         now: MonotonicTime,
     ): Int? = paces[target]?.takeIf { it.run == run && !it.isReleased && !it.isOver(now) }?.allowed
 
+    /**
+     * Returns whether all answers of the [run] of [target] have come in time since its limit began, so that the limit alone is caution
+     * enough and earlier failures no longer count.
+     */
+    fun isTrusted(
+        target: TargetId,
+        run: Incarnation,
+        now: MonotonicTime,
+    ): Boolean = paces[target]?.takeIf { it.run == run && !it.isOver(now) }?.isTrusted == true
+
     /** Records an answer within the predicted time to a request sent at [sentAt]. */
     fun recordOnTime(
         target: TargetId,
@@ -121,7 +131,7 @@
         if (!hasRoomFor(report.target)) return null
         val end = now + minOf(report.leftMillis, MAX_MILLIS)
         val pace = Pace(report.target, report.run, report.slots, report.step, report.allowed, report.evidenceAt(now), end)
-        pace.confirmedBy[from] = report.confirmed
+        pace.takeOver(from, report)
         paces[report.target] = pace
         return if (pace.isReleased) null else PaceChange(PaceChangeKind.STARTED, report.target, report.run, report.allowed)
     }
@@ -147,9 +157,13 @@
         var confirmed = 0
         val confirmedBy = HashMap<DaemonName, Int>()
         private var loweredAt: MonotonicTime? = null
+        var isTroubled = false
+            private set
 
         val isReleased: Boolean get() = allowed >= slots
 
+        val isTrusted: Boolean get() = !isTroubled && (step > 0 || confirmed > 0 || confirmedBy.isNotEmpty())
+
         fun isOver(now: MonotonicTime) = now - evidenceAt >= QUIET_MILLIS || now >= end
 
         fun wasLoweredSince(sentAt: MonotonicTime) = loweredAt?.let { sentAt < it } == true
@@ -167,6 +181,7 @@
             val before = allowed
             moveTo(step + 1, maxOf(1, allowed / 2))
             loweredAt = now
+            isTroubled = true
             return if (allowed < before) change(PaceChangeKind.LOWERED) else null
         }
 
@@ -177,7 +192,7 @@
             now: MonotonicTime,
         ): PaceChange? {
             if (report.confirmed <= (confirmedBy[from] ?: 0)) return null
-            confirmedBy[from] = report.confirmed
+            takeOver(from, report)
             takeAge(report, now)
             return raiseIfConfirmed()
         }
@@ -189,7 +204,7 @@
         ): PaceChange? {
             val before = allowed
             moveTo(report.step, minOf(report.allowed, slots))
-            confirmedBy[from] = report.confirmed
+            takeOver(from, report)
             takeAge(report, now)
             if (allowed < before) loweredAt = now
             return when {
@@ -200,7 +215,16 @@
             }
         }
 
-        fun toReport(now: MonotonicTime) = PaceReport(target, run, step, allowed, slots, confirmed, maxOf(0, now - evidenceAt), end - now)
+        fun toReport(now: MonotonicTime) =
+            PaceReport(target, run, step, allowed, slots, confirmed, isTroubled, maxOf(0, now - evidenceAt), end - now)
+
+        fun takeOver(
+            from: DaemonName,
+            report: PaceReport,
+        ) {
+            if (report.confirmed > 0) confirmedBy[from] = report.confirmed
+            isTroubled = isTroubled || report.isTroubled
+        }
 
         private fun takeAge(
             report: PaceReport,
