--- a/decisions/src/main/kotlin/yuccaferry/decisions/limits/PaceReport.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/limits/PaceReport.kt
@@ -11,7 +11,6 @@
  * @property allowed requests of all daemons that the target may have at once; [slots] or more when the limit is lifted.
  * @property slots requests that the target processes concurrently.
  * @property confirmed answers within the predicted time that the reporting daemon itself received in this [step].
- * @property isTroubled whether the target has failed or been late since its limit began.
  * @property ageMillis time since the last evidence.
  * @property leftMillis time after which the limit is lifted whatever the target does.
  */
@@ -22,7 +21,6 @@
     val allowed: Int,
     val slots: Int,
     val confirmed: Int,
-    val isTroubled: Boolean,
     val ageMillis: Long,
     val leftMillis: Long,
 )
--- a/decisions/src/main/kotlin/yuccaferry/decisions/limits/TargetPace.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/limits/TargetPace.kt
@@ -21,20 +21,21 @@
     val limitedTargets: Int get() = paces.values.count { !it.isReleased }
 
     /**
-     * Starts to limit the [run] of [target], which has [slots] slots and [active] requests in progress; evidence is expected from
-     * [readyAt] on. Returns null if this run is limited already, proved itself in the last seconds, or has too few slots for a limit.
+     * Starts to limit the [run] of [target], which has [slots] slots and [active] requests in progress, at [now]; answers are expected
+     * from [readyAt] on. Returns null if this run is limited already, proved itself in the last seconds, or has too few slots for a limit.
      */
     fun begin(
         target: TargetId,
         run: Incarnation,
         slots: Int,
         active: Int,
-        readyAt: MonotonicTime,
+        now: MonotonicTime,
+        readyAt: MonotonicTime = now,
     ): PaceChange? {
         if (paces[target]?.run == run || !hasRoomFor(target)) return null
         val allowed = maxOf(1, slots / START_SLOTS_DIVISOR, active / 2)
         if (allowed >= slots) return null
-        paces[target] = Pace(target, run, slots, step = 0, allowed, evidenceAt = readyAt, end = readyAt + MAX_MILLIS)
+        paces[target] = Pace(target, run, slots, step = 0, allowed, changedAt = now, evidenceAt = readyAt, end = readyAt + MAX_MILLIS)
         return PaceChange(PaceChangeKind.STARTED, target, run, allowed)
     }
 
@@ -45,16 +46,6 @@
         now: MonotonicTime,
     ): Int? = paces[target]?.takeIf { it.run == run && !it.isReleased && !it.isOver(now) }?.allowed
 
-    /**
-     * Returns whether all answers of the [run] of [target] have come in time since its limit began, so that the limit alone is caution
-     * enough and earlier failures no longer count.
-     */
-    fun isTrusted(
-        target: TargetId,
-        run: Incarnation,
-        now: MonotonicTime,
-    ): Boolean = paces[target]?.takeIf { it.run == run && !it.isOver(now) }?.isTrusted == true
-
     /** Records an answer within the predicted time to a request sent at [sentAt]. */
     fun recordOnTime(
         target: TargetId,
@@ -63,8 +54,7 @@
         now: MonotonicTime,
     ): PaceChange? {
         val pace = limited(target, run) ?: return null
-        // An answer to a request from before the limit was lowered says nothing of the lower one.
-        if (pace.wasLoweredSince(sentAt)) return null
+        if (pace.isPredatedBy(sentAt)) return null
         pace.evidenceAt = maxOf(pace.evidenceAt, now)
         pace.confirmed++
         return pace.raiseIfConfirmed()
@@ -80,7 +70,7 @@
         val pace = limited(target, run) ?: return null
         pace.evidenceAt = maxOf(pace.evidenceAt, now)
         // Requests that were under way together fail together, which is one reason to lower the limit, not several.
-        return if (pace.wasLoweredSince(sentAt)) null else pace.lower(now)
+        return if (pace.isPredatedBy(sentAt)) null else pace.lower(now)
     }
 
     /** Lifts the limits without recent evidence, and those whose time is over. */
@@ -130,8 +120,8 @@
     ): PaceChange? {
         if (!hasRoomFor(report.target)) return null
         val end = now + minOf(report.leftMillis, MAX_MILLIS)
-        val pace = Pace(report.target, report.run, report.slots, report.step, report.allowed, report.evidenceAt(now), end)
-        pace.takeOver(from, report)
+        val pace = Pace(report.target, report.run, report.slots, report.step, report.allowed, changedAt = now, report.evidenceAt(now), end)
+        pace.confirmedBy[from] = report.confirmed
         paces[report.target] = pace
         return if (pace.isReleased) null else PaceChange(PaceChangeKind.STARTED, report.target, report.run, report.allowed)
     }
@@ -150,23 +140,20 @@
         val slots: Int,
         var step: Int,
         var allowed: Int,
+        private var changedAt: MonotonicTime,
         var evidenceAt: MonotonicTime,
         private val end: MonotonicTime,
     ) {
         /** Answers of the current step within the predicted time: to this daemon, and to each peer by its last report. */
         var confirmed = 0
         val confirmedBy = HashMap<DaemonName, Int>()
-        private var loweredAt: MonotonicTime? = null
-        var isTroubled = false
-            private set
 
         val isReleased: Boolean get() = allowed >= slots
 
-        val isTrusted: Boolean get() = !isTroubled && (step > 0 || confirmed > 0 || confirmedBy.isNotEmpty())
-
         fun isOver(now: MonotonicTime) = now - evidenceAt >= QUIET_MILLIS || now >= end
 
-        fun wasLoweredSince(sentAt: MonotonicTime) = loweredAt?.let { sentAt < it } == true
+        /** Whether the limit began or was lowered after [sentAt]: a request sent then says nothing of the current limit. */
+        fun isPredatedBy(sentAt: MonotonicTime) = sentAt < changedAt
 
         fun isOlderThan(report: PaceReport) = step < report.step || step == report.step && allowed > report.allowed
 
@@ -180,8 +167,7 @@
         fun lower(now: MonotonicTime): PaceChange? {
             val before = allowed
             moveTo(step + 1, maxOf(1, allowed / 2))
-            loweredAt = now
-            isTroubled = true
+            changedAt = now
             return if (allowed < before) change(PaceChangeKind.LOWERED) else null
         }
 
@@ -192,7 +178,7 @@
             now: MonotonicTime,
         ): PaceChange? {
             if (report.confirmed <= (confirmedBy[from] ?: 0)) return null
-            takeOver(from, report)
+            confirmedBy[from] = report.confirmed
             takeAge(report, now)
             return raiseIfConfirmed()
         }
@@ -204,9 +190,9 @@
         ): PaceChange? {
             val before = allowed
             moveTo(report.step, minOf(report.allowed, slots))
-            takeOver(from, report)
+            confirmedBy[from] = report.confirmed
             takeAge(report, now)
-            if (allowed < before) loweredAt = now
+            if (allowed < before) changedAt = now
             return when {
                 isReleased -> change(PaceChangeKind.RELEASED).takeIf { before < slots }
                 allowed < before -> change(PaceChangeKind.LOWERED)
@@ -215,16 +201,7 @@
             }
         }
 
-        fun toReport(now: MonotonicTime) =
-            PaceReport(target, run, step, allowed, slots, confirmed, isTroubled, maxOf(0, now - evidenceAt), end - now)
-
-        fun takeOver(
-            from: DaemonName,
-            report: PaceReport,
-        ) {
-            if (report.confirmed > 0) confirmedBy[from] = report.confirmed
-            isTroubled = isTroubled || report.isTroubled
-        }
+        fun toReport(now: MonotonicTime) = PaceReport(target, run, step, allowed, slots, confirmed, maxOf(0, now - evidenceAt), end - now)
 
         private fun takeAge(
             report: PaceReport,
--- a/decisions/src/test/kotlin/yuccaferry/decisions/limits/TargetPaceTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/limits/TargetPaceTest.kt
@@ -22,7 +22,7 @@
         slots: Int = 8,
         active: Int = 0,
         readyAt: MonotonicTime = start,
-    ) = begin(target, run, slots, active, readyAt)
+    ) = begin(target, run, slots, active, start, readyAt)
 
     private fun TargetPace.allowed(now: MonotonicTime = start) = allowed(target, run, now)
 
@@ -132,6 +132,17 @@
         }
     }
 
+    @Nested
+    inner class `requests from before the limit began` {
+        @Test
+        fun `say nothing of a target that has recovered`() {
+            pace.begin(slots = 16)
+            assertNull(pace.fail(sentAt = start + -1, now = start + 10))
+            assertNull(pace.answer(times = 8, sentAt = start + -1, now = start + 10))
+            assertEquals(4, pace.allowed(start + 10))
+        }
+    }
+
     @Nested
     inner class `without evidence` {
         @Test
--- a/decisions/src/test/kotlin/yuccaferry/decisions/load/YoungEnginesTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/load/YoungEnginesTest.kt
@@ -81,9 +81,9 @@
 
     @Test
     fun `trial table`() {
-        for ((name, disturb) in mapOf("halt" to halt)) {
+        for ((name, disturb) in mapOf("restart" to restart, "halt" to halt, "freeze" to freeze, "grey" to grey)) {
             for (daemons in listOf(12, 40)) {
-                for ((delay, rate) in listOf(30.0 to 37.0, 30.0 to 60.0, 100.0 to 60.0)) {
+                for ((delay, rate) in listOf(5.0 to 37.0, 30.0 to 37.0, 100.0 to 37.0, 30.0 to 60.0)) {
                     short = LargeSite.short { rate }
                     for (policy in listOf("none", "pace", "additive", "gradient", "pid")) {
                         val rows = (1..5).map { play(policy, delay, it, daemons, disturb) }
--- a/decisions/src/test/kotlin/yuccaferry/decisions/load/ZoneDaemons.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/load/ZoneDaemons.kt
@@ -47,14 +47,6 @@
         run: Incarnation,
         now: MonotonicTime,
     ): Int?
-
-    /** Returns whether [daemon] disregards earlier failures of [engine]. */
-    fun trusts(
-        daemon: Int,
-        engine: TargetId,
-        run: Incarnation,
-        now: MonotonicTime,
-    ): Boolean = false
 }
 
 /** Limits nothing, as before limits were added. */
@@ -146,7 +138,7 @@
         val run = run(signal.send.engine)
         val now = time(signal.now)
         val daemon = signal.send.arrival.daemon
-        if (!signal.isFailure && penaltyOf(daemon, engine, now) >= TargetHealth.BROKEN_MILLIS / 2) {
+        if (!signal.isFailure && agreedMillis(daemon, engine, run, now) >= TargetHealth.BROKEN_MILLIS / 2) {
             pacer.recover(daemon, engine, run, zone.engines[signal.send.engine].active, now)
         }
         pacer.record(signal, engine, run)
@@ -165,13 +157,19 @@
         view: ZoneView,
     ) = pacer.allowed(view.daemon, engine.id, run(indexOf(engine.id)), time(view.now))?.let { engine.active < it } ?: true
 
+    private fun agreedMillis(
+        daemon: Int,
+        engine: TargetId,
+        run: Incarnation,
+        now: MonotonicTime,
+    ) = reports.agreedMillis(engine, run, health[daemon].penaltyMillis(engine, run, now), now)
+
     private fun penaltyOf(
         daemon: Int,
         engine: TargetId,
         now: MonotonicTime,
     ): Double {
         val run = run(indexOf(engine))
-        if (pacer.trusts(daemon, engine, run, now)) return 0.0
         val own = health[daemon].penaltyMillis(engine, run, now)
         return maxOf(own, reports.agreedMillis(engine, run, own, now))
     }
--- a/decisions/src/test/kotlin/yuccaferry/decisions/load/ZonePacers.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/load/ZonePacers.kt
@@ -69,13 +69,6 @@
         run: Incarnation,
         now: MonotonicTime,
     ): Int? = paces[daemon].allowed(engine, run, now)
-
-    override fun trusts(
-        daemon: Int,
-        engine: TargetId,
-        run: Incarnation,
-        now: MonotonicTime,
-    ) = paces[daemon].isTrusted(engine, run, now)
 }
 
 /** A limit that all daemons know at once, which is better than any messages, and that [next] changes with each answer. */
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/PaceMessage.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/PaceMessage.kt
@@ -18,14 +18,13 @@
     @ProtoNumber(6) val confirmed: Int,
     @ProtoNumber(7) val ageMillis: Long,
     @ProtoNumber(8) val leftMillis: Long,
-    @ProtoNumber(9) val isTroubled: Boolean = false,
 ) {
     val isPlausible: Boolean
         get() = step in 0..MAX_COUNT && slots in 1..MAX_COUNT && allowed in 1..slots && confirmed in 0..MAX_COUNT && hasPlausibleTimes
 
     private val hasPlausibleTimes get() = ageMillis in 0..MAX_MILLIS && leftMillis in -MAX_MILLIS..MAX_MILLIS
 
-    fun toReport() = PaceReport(TargetId(target), Incarnation(run), step, allowed, slots, confirmed, isTroubled, ageMillis, leftMillis)
+    fun toReport() = PaceReport(TargetId(target), Incarnation(run), step, allowed, slots, confirmed, ageMillis, leftMillis)
 
     companion object {
         /** Most steps, slots and answers of one target, far beyond what one run has while it is limited. */
@@ -44,7 +43,6 @@
                 report.confirmed,
                 report.ageMillis,
                 report.leftMillis,
-                report.isTroubled,
             )
     }
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/TargetPaces.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/TargetPaces.kt
@@ -51,12 +51,6 @@
         active: () -> Int,
     ): Boolean = pace.allowed(target.id, target.incarnation, now)?.let { active() < it } ?: true
 
-    /** Returns whether [target] has answered in time since its limit began, so that what is known of earlier failures no longer counts. */
-    fun trusts(
-        target: Target,
-        now: MonotonicTime,
-    ): Boolean = !pace.isEmpty && pace.isTrusted(target.id, target.incarnation, now)
-
     /** Records that the first event of a request sent to [target] at [sentAt] came, [predictedMillis] having been predicted. */
     fun recordFirstEvent(
         target: Target,
@@ -145,7 +139,7 @@
         now: MonotonicTime,
     ) {
         pace.expire(now).forEach { log(it) }
-        val change = pace.begin(target.id, target.incarnation, target.slots, active, readyAt = maxOf(now, target.coldUntil)) ?: return
+        val change = pace.begin(target.id, target.incarnation, target.slots, active, now, readyAt = maxOf(now, target.coldUntil)) ?: return
         log(change, Field("reason", reason), Field("slots", target.slots))
     }
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -228,7 +228,6 @@
         target: Target,
         now: MonotonicTime,
     ): Double {
-        if (paces.trusts(target, now)) return 0.0
         val own = health.penaltyMillis(target.id, target.incarnation, now)
         return maxOf(own, reports.agreedMillis(target.id, target.incarnation, own, now))
     }
--- a/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerBytesTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerBytesTest.kt
@@ -29,7 +29,7 @@
             answered = listOf(PartAge(PromptPart("a"), 20)),
             quarantined = listOf(PartAge(PromptPart("b"), 7)),
         )
-    private val limit = PaceReport(TargetId("t"), Incarnation("1"), 3, 2, 8, 1, isTroubled = true, ageMillis = 40, leftMillis = 9_000)
+    private val limit = PaceReport(TargetId("t"), Incarnation("1"), 3, 2, 8, 1, ageMillis = 40, leftMillis = 9_000)
     private val message =
         WorkMessage(
             daemon = "d",
