--- a/decisions/src/main/kotlin/yuccaferry/decisions/limits/TargetPace.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/limits/TargetPace.kt
@@ -105,10 +105,14 @@
         val pace = paces[report.target]
         return when {
             pace == null -> adopt(from, report, now)
+
             // Runs have no order here: the platform's list decides which one is current, by a call of begin.
             pace.run != report.run -> null
+
             pace.step == report.step && pace.allowed == report.allowed -> pace.receive(from, report, now)
+
             pace.isOlderThan(report) -> pace.replaceBy(from, report, now)
+
             else -> null
         }
     }
@@ -155,7 +159,7 @@
         /** Whether the limit began or was lowered after [sentAt]: a request sent then says nothing of the current limit. */
         fun isPredatedBy(sentAt: MonotonicTime) = sentAt < changedAt
 
-        fun isOlderThan(report: PaceReport) = step < report.step || step == report.step && allowed > report.allowed
+        fun isOlderThan(report: PaceReport) = step < report.step || (step == report.step && allowed > report.allowed)
 
         fun raiseIfConfirmed(): PaceChange? {
             if (isReleased || confirmed + confirmedBy.values.sum() < allowed) return null
--- a/decisions/src/test/kotlin/yuccaferry/decisions/load/EmulatedZone.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/load/EmulatedZone.kt
@@ -192,14 +192,13 @@
     private fun promptOf(
         arrival: Arrival,
         now: Double,
-    ) =
-        Prompt(
-            arrival.tokens,
-            arrival.tokens + ANSWER_TOKENS,
-            arrival.kind.targetMillis,
-            waitedMillis = (now - arrival.millis).toLong(),
-            remainingMillis = DEADLINE_MILLIS - (now - arrival.millis).toLong(),
-        )
+    ) = Prompt(
+        arrival.tokens,
+        arrival.tokens + ANSWER_TOKENS,
+        arrival.kind.targetMillis,
+        waitedMillis = (now - arrival.millis).toLong(),
+        remainingMillis = DEADLINE_MILLIS - (now - arrival.millis).toLong(),
+    )
 
     private fun arrivalsOf(
         kind: PromptKind,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
@@ -74,7 +74,9 @@
 }
 
 private val WorkMessage.isPlausible: Boolean
-    get() = targets.all { it.isPlausible } && penalties.all { it.millis >= 0 } && quarantine?.isPlausible != false && paces.all { it.isPlausible }
+    get() =
+        targets.all { it.isPlausible } && penalties.all { it.millis >= 0 } && quarantine?.isPlausible != false &&
+            paces.all { it.isPlausible }
 
 private val TargetWork.isPlausible: Boolean
     get() = active in 0..MAX_REQUESTS && longRequests in 0..active && readingMillis >= 0 && heldTokens in 0..MAX_TOKENS
--- a/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerBytesTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/peers/PeerBytesTest.kt
@@ -92,7 +92,13 @@
     @Test
     fun `a limit with values that no daemon has is refused`() {
         val limits =
-            listOf(limit.copy(allowed = 0), limit.copy(allowed = 9), limit.copy(step = -1), limit.copy(confirmed = -1), limit.copy(ageMillis = -1))
+            listOf(
+                limit.copy(allowed = 0),
+                limit.copy(allowed = 9),
+                limit.copy(step = -1),
+                limit.copy(confirmed = -1),
+                limit.copy(ageMillis = -1),
+            )
         for (implausible in limits) {
             val bytes = ProtoBuf.encodeToByteArray(WorkMessage("d", 1, 1, paces = listOf(PaceMessage.of(implausible))))
             assertNull(decodeMessage(bytes), "$implausible")
@@ -105,7 +111,10 @@
         val work = List(WorkMessage.MAX_TARGETS) { TargetWork(id, 10, 20_000, 400_000, 2) }
         val paces = List(TargetPace.MAX_REPORTS) { PaceMessage(id, "1790032395244", 20, 8, 16, 8, 5_000, 20_000) }
         val penalties = List(PeerReports.MAX_PENALTIES) { ReportedPenalty(id, "1790032395244", 20_000) }
-        val bytes = ProtoBuf.encodeToByteArray(WorkMessage("front-some-zone-a-40", 1L shl 41, 1 shl 20, work, 1_500, penalties, paces = paces))
+        val bytes =
+            ProtoBuf.encodeToByteArray(
+                WorkMessage("front-some-zone-a-40", 1L shl 41, 1 shl 20, work, 1_500, penalties, paces = paces),
+            )
         assertTrue(bytes.size <= PeerLink.MAX_DATAGRAM_BYTES, "found ${bytes.size} bytes")
     }
 
