--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/TargetPaces.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/TargetPaces.kt
@@ -33,7 +33,7 @@
         telemetry.gauge("yuccaferry_targets_paced") { pace.limitedTargets.toDouble() }
     }
 
-    /** Limits [target], listed as [before] until now, if it has started again or is cold; a target that isn't cold when first seen is not. */
+    /** Limits [target], listed as [before] until now, if it has started again or become cold; one that is first seen warm is not. */
     fun observe(
         before: Target?,
         target: Target,
