--- a/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/GatewayDaemon.kt
@@ -7,10 +7,6 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import yuccaferry.daemon.port.Field
 import yuccaferry.daemon.port.Telemetry
-import yuccaferry.decisions.dispatch.LoadReports
-import yuccaferry.decisions.dispatch.PeerReports
-import yuccaferry.decisions.dispatch.TargetActivity
-import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.forward.Departure
 import yuccaferry.decisions.quarantine.PromptQuarantine
 import yuccaferry.decisions.routing.CallerLimits
@@ -22,7 +18,7 @@
 import yuccaferry.gateway.net.LoopMonitor
 import yuccaferry.gateway.net.RequestHandler
 import yuccaferry.gateway.peers.PeerLink
-import yuccaferry.gateway.peers.WorkTracker
+import yuccaferry.gateway.peers.TargetKnowledge
 import yuccaferry.gateway.port.EngineMemory
 import yuccaferry.gateway.port.RequestFormat
 import yuccaferry.gateway.request.AttemptLog
@@ -65,26 +61,20 @@
     /** The tasks without which this daemon doesn't report that it is ready. */
     val tasks = BackgroundTasks(loop, telemetry)
     private val loopMonitor = LoopMonitor(loop, telemetry)
-    private val workTracker = WorkTracker()
-
-    private val health = TargetHealth()
-    private val reports = PeerReports()
-    private val loads = LoadReports()
-    private val activity = TargetActivity()
+    private val targets = TargetKnowledge(telemetry)
     private val quarantine = PromptQuarantine()
 
     /** Exchanges messages with other daemons. */
-    val peers = PeerLink(loop, DaemonName(name), zone, workTracker, health, reports, loads, activity, quarantine, telemetry)
+    val peers = PeerLink(loop, DaemonName(name), zone, targets, quarantine, telemetry)
     private val connector = HttpClientConnector(loop)
-    private val selector =
-        TargetSelector(fleet, workTracker, health, reports, loads, activity, notices, DaemonName(name), zone, limits, random)
-    private val tracker = AttemptTracker(loop, format, health, RetryPolicy(fleet, limits), AttemptLog(telemetry))
+    private val selector = TargetSelector(fleet, targets, notices, DaemonName(name), zone, limits, random)
+    private val tracker = AttemptTracker(loop, format, targets, RetryPolicy(fleet, limits), AttemptLog(telemetry))
     private val buffers = BufferBudget()
-    private val calls = CallForwarder(loop, connector, format, selector, tracker, workTracker, notices, buffers)
+    private val calls = CallForwarder(loop, connector, format, selector, tracker, targets.work, notices, buffers)
     private val reservations = MemoryReservations(loop, memory, random)
     private val guard = PromptGuard(loop, quarantine, CrashDetector(connector, telemetry), telemetry, peers::reportQuarantine)
     private val streams =
-        StreamForwarder(loop, connector, format, selector, tracker, workTracker, reservations, notices, guard, random, buffers, telemetry)
+        StreamForwarder(loop, connector, format, selector, tracker, targets.work, reservations, notices, guard, random, buffers, telemetry)
     private val gateway = Gateway(loop, fleet, format, calls, streams, telemetry, random)
     private val dropped = DroppedRequestLog(format, telemetry)
     private val callerServer = HttpServer(loop, ::callerLimits, gateway, dropped)
@@ -100,6 +90,10 @@
             },
         )
 
+    init {
+        fleet.onTarget = { before, target -> targets.paces.observe(before, target, loop.now()) }
+    }
+
     /** Number of caller connections on which a request is being received or answered. */
     val busyConnections: Int get() = callerServer.busyConnections
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
@@ -18,10 +18,6 @@
 import kotlinx.serialization.encodeToByteArray
 import kotlinx.serialization.protobuf.ProtoBuf
 import yuccaferry.daemon.port.Telemetry
-import yuccaferry.decisions.dispatch.LoadReports
-import yuccaferry.decisions.dispatch.PeerReports
-import yuccaferry.decisions.dispatch.TargetActivity
-import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.dispatch.TargetPenalty
 import yuccaferry.decisions.quarantine.PromptQuarantine
 import yuccaferry.decisions.quarantine.QuarantineReport
@@ -36,18 +32,14 @@
 import java.net.InetSocketAddress
 
 /**
- * Sends the work of the daemon [name] in [zone] from [workTracker], the penalties of [health] and the [quarantine] to its peers, and
- * records theirs.
+ * Sends the work of the daemon [name] in [zone] from [workTracker], the penalties of [health], the [quarantine] and the limits of [paces]
+ * to its peers, and records theirs.
  */
 class PeerLink internal constructor(
     private val loop: EventLoop,
     private val name: DaemonName,
     private val zone: ZoneName,
-    private val workTracker: WorkTracker,
-    private val health: TargetHealth,
-    private val reports: PeerReports,
-    private val loads: LoadReports,
-    private val activity: TargetActivity,
+    private val targets: TargetKnowledge,
     private val quarantine: PromptQuarantine,
     private val telemetry: Telemetry,
 ) {
@@ -81,7 +73,8 @@
                 .bind(address)
         future.awaitFailure()?.let { throw it }
         channel = future.channel()
-        workTracker.onChange = ::scheduleSends
+        targets.work.onChange = ::scheduleSends
+        targets.paces.onNews = { nearSends.within(timing.batchMillis) }
     }
 
     /** Opens the socket at [address] again whenever it was closed; calls [onProgress] while it is open. */
@@ -100,8 +93,8 @@
     fun setMembers(members: Collection<Member>) {
         scopes = PeerScopes.of(name, zone, members)
         timing = if (scopes.isComplete) PeerTiming.COMPLETE else PeerTiming.PARTIAL
-        workTracker.isComplete = scopes.isComplete
-        workTracker.knownShare = scopes.knownShare
+        targets.work.isComplete = scopes.isComplete
+        targets.work.knownShare = scopes.knownShare
         // A daemon that has just started knows no quarantine, and is told of it in reply to its first message.
         val isFirst = !hasGreeted && scopes.near.isNotEmpty()
         if (isFirst || !quarantine.report(loop.now()).isEmpty) nearSends.within(LONG_BATCH_MILLIS)
@@ -128,12 +121,12 @@
     }
 
     private fun sendNear() {
-        if (workTracker.ownCount > 0 || hasRecentCrash()) nearSends.within(timing.nearRepeatMillis)
-        send(scopes.near, workTracker.ownWork(loop.now()), timing.nearRepeatMillis)
+        if (targets.work.ownCount > 0 || hasRecentCrash()) nearSends.within(timing.nearRepeatMillis)
+        send(scopes.near, targets.work.ownWork(loop.now()), timing.nearRepeatMillis)
     }
 
     private fun sendFar() {
-        val work = workTracker.ownLongWork(loop.now())
+        val work = targets.work.ownLongWork(loop.now())
         if (hasRecentCrash()) {
             farSends.within(CRASH_REPEAT_MILLIS)
         } else if (work.isNotEmpty()) {
@@ -151,13 +144,24 @@
     ) {
         val open = channel ?: return
         if (receivers.isEmpty()) return
-        val penalties = health.reportable(loop.now()).map { ReportedPenalty(it.target.value, it.run.value, it.millis.toInt()) }
+        val penalties = targets.health.reportable(loop.now()).map { ReportedPenalty(it.target.value, it.run.value, it.millis.toInt()) }
+        val limits = targets.paces.reports(loop.now()).map { PaceMessage.of(it) }
         val reports = quarantine.report(loop.now()).split(QuarantineMessage.MAX_PARTS)
         val first = reports.firstOrNull()?.let { QuarantineMessage.of(it) }
         val told = work.sortedByDescending { it.active }.take(WorkMessage.MAX_TARGETS)
-        val stated = loads.reportable(loop.now()).map { LoadMessage.of(it) }
+        val stated = targets.loads.reportable(loop.now()).map { LoadMessage.of(it) }
         val message =
-            WorkMessage(name.value, start, ++sequence, told, repeatMillis * MISSED_REPEATS, penalties, first, loads = stated)
+            WorkMessage(
+                daemon = name.value,
+                start = start,
+                sequence = ++sequence,
+                targets = told,
+                validMillis = repeatMillis * MISSED_REPEATS,
+                penalties = penalties,
+                quarantine = first,
+                paces = limits,
+                loads = stated,
+            )
         val addresses = receivers.map { it.peerAddress }
         (listOf(message) + additions(reports.drop(1))).forEach { send(open, addresses, it) }
         open.flush()
@@ -190,10 +194,11 @@
     ) {
         val now = loop.now()
         // Additions get no reply: two daemons that don't know each other's work would go on for ever.
-        if (!message.isAddition && !workTracker.knowsRunOf(message)) sendQuarantine(sender)
-        if (!message.isAddition) workTracker.receive(message, now)
+        if (!message.isAddition && !targets.work.knowsRunOf(message)) sendQuarantine(sender)
+        if (!message.isAddition) targets.work.receive(message, now)
         val penalties = message.penalties.map { TargetPenalty(TargetId(it.target), Incarnation(it.run), it.millis.toDouble()) }
-        reports.receive(DaemonName(message.daemon), penalties, now)
+        targets.reports.receive(DaemonName(message.daemon), penalties, now)
+        targets.paces.receive(DaemonName(message.daemon), message.paces.map { it.toReport() }, now)
         message.loads.forEach { receive(it, now) }
         message.quarantine?.let { quarantine.receive(it.toReport(), now) }
     }
@@ -205,8 +210,8 @@
         val target = TargetId(stated.target)
         val run = Incarnation(stated.run)
         val time = now + -stated.ageMillis.toLong()
-        activity.record(target, run, time)
-        loads.record(target, run, stated.load, known = workTracker.totalsAt(target, now).active, time)
+        targets.activity.record(target, run, time)
+        targets.loads.record(target, run, stated.load, known = targets.work.totalsAt(target, now).active, time)
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
@@ -18,6 +18,7 @@
  * @property penalties penalties of targets that failed or were late.
  * @property quarantine what the sender knows of prompts that crash targets; null if it knows of none.
  * @property isAddition whether the message only adds to what the sender reports of prompts, and leaves its work as it was.
+ * @property paces limits of targets that have just started or recovered.
  * @property loads load that targets stated to the sender and its peers may not know.
  * @property validMillis time after which the work is no longer counted unless another message arrives.
  */
@@ -31,6 +32,7 @@
     @ProtoNumber(6) val penalties: List<ReportedPenalty> = emptyList(),
     @ProtoNumber(7) val quarantine: QuarantineMessage? = null,
     @ProtoNumber(8) val isAddition: Boolean = false,
+    @ProtoNumber(9) val paces: List<PaceMessage> = emptyList(),
     @ProtoNumber(10) val loads: List<LoadMessage> = emptyList(),
 ) {
     companion object {
@@ -100,7 +102,7 @@
 private val WorkMessage.isPlausible: Boolean
     get() =
         targets.all { it.isPlausible } && penalties.all { it.millis >= 0 } && quarantine?.isPlausible != false &&
-            loads.size <= LoadReports.MAX_REPORTED && loads.all { it.isPlausible }
+            paces.all { it.isPlausible } && loads.size <= LoadReports.MAX_REPORTED && loads.all { it.isPlausible }
 
 private val TargetWork.isPlausible: Boolean
     get() = active in 0..MAX_REQUESTS && longRequests in 0..active && readingMillis >= 0 && heldTokens in 0..MAX_TOKENS
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/AttemptTracker.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/AttemptTracker.kt
@@ -3,12 +3,12 @@
 
 import yuccaferry.daemon.port.Field
 import yuccaferry.decisions.dispatch.ReportedLoad
-import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.forward.AttemptEnd
 import yuccaferry.decisions.forward.finalAnswer
 import yuccaferry.decisions.forward.wasSent
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.HttpResponseWriter
+import yuccaferry.gateway.peers.TargetKnowledge
 import yuccaferry.gateway.port.RequestFormat
 import yuccaferry.gateway.view.Target
 import yuccaferry.model.TargetId
@@ -17,7 +17,7 @@
 internal class AttemptTracker(
     private val loop: EventLoop,
     private val format: RequestFormat,
-    private val health: TargetHealth,
+    private val targets: TargetKnowledge,
     private val retryPolicy: RetryPolicy,
     private val log: AttemptLog,
 ) {
@@ -34,6 +34,7 @@
         private val ends = mutableListOf<AttemptEnd>()
         private var start = loop.now()
         private var isUnderWay = false
+        private var isTimed = false
 
         /** The target of each attempt so far; the helper instead if the helper was at fault. */
         val tried = mutableSetOf<TargetId>()
@@ -51,6 +52,7 @@
         ) {
             start = loop.now()
             isUnderWay = true
+            isTimed = false
             log.logStart(request, target, ends.size + 1, *inputs)
         }
 
@@ -62,7 +64,12 @@
             target: Target,
             predictedMillis: Double,
             load: ReportedLoad?,
-        ) = health.recordFirstEvent(target.id, target.incarnation, predictedMillis, (loop.now() - start).toDouble(), loop.now(), load)
+        ) {
+            val now = loop.now()
+            isTimed = true
+            targets.paces.recordFirstEvent(target, predictedMillis, start, now)
+            targets.health.recordFirstEvent(target.id, target.incarnation, predictedMillis, (now - start).toDouble(), now, load)
+        }
 
         /** Records that the attempt at [target] ended; [faultyTarget] is the target at fault if it failed. */
         fun recordEnd(
@@ -75,7 +82,8 @@
             isUnderWay = false
             tried += faultyTarget.id
             log.logEnd(request, target, end, start, loop.now(), *details)
-            health.record(faultyTarget, end, loop.now())
+            targets.paces.recordEnd(faultyTarget, end, isTimed, start, loop.now())
+            targets.health.record(faultyTarget, end, loop.now())
         }
 
         /**
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -3,20 +3,17 @@
 
 import yuccaferry.decisions.dispatch.Availability
 import yuccaferry.decisions.dispatch.EngineModel
-import yuccaferry.decisions.dispatch.LoadReports
-import yuccaferry.decisions.dispatch.PeerReports
 import yuccaferry.decisions.dispatch.Prompt
 import yuccaferry.decisions.dispatch.ShortPool
 import yuccaferry.decisions.dispatch.StreamPlacement
 import yuccaferry.decisions.dispatch.StreamPlan
-import yuccaferry.decisions.dispatch.TargetActivity
-import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.dispatch.TargetLoad
 import yuccaferry.decisions.dispatch.placeCall
+import yuccaferry.decisions.limits.withinPace
 import yuccaferry.decisions.routing.EngineFigures
 import yuccaferry.decisions.routing.ServiceDefinition
 import yuccaferry.gateway.GatewayLimits
-import yuccaferry.gateway.peers.WorkTracker
+import yuccaferry.gateway.peers.TargetKnowledge
 import yuccaferry.gateway.port.AnswerHead
 import yuccaferry.gateway.view.FleetView
 import yuccaferry.gateway.view.Target
@@ -32,11 +29,7 @@
 /** Selects targets for requests that arrive at the daemon [own] in [zone]. */
 internal class TargetSelector(
     private val fleet: FleetView,
-    private val workTracker: WorkTracker,
-    private val health: TargetHealth,
-    private val reports: PeerReports,
-    private val loads: LoadReports,
-    private val activity: TargetActivity,
+    private val targets: TargetKnowledge,
     private val notices: TargetNotices,
     own: DaemonName,
     private val zone: ZoneName,
@@ -53,7 +46,7 @@
         tried: Set<TargetId>,
         now: MonotonicTime,
     ): Placement? {
-        val usable = openTargets(request.service.name, now)
+        val usable = withinPace(openTargets(request.service.name, now), now)
         val streamPlacement = streamPlacementFor(figures)
         val prompt =
             Prompt(
@@ -75,7 +68,7 @@
         tried: Set<TargetId>,
         now: MonotonicTime,
     ): Target? {
-        val targets = candidates(openTargets(service.name, now).all, service, tried, now)
+        val targets = candidates(withinPace(openTargets(service.name, now), now).all, service, tried, now)
         val chosen = placeCall(targets.map { loadOf(it, now) }, zone, random.nextDouble()) ?: return null
         return targets.first { it.id == chosen.id }
     }
@@ -107,7 +100,22 @@
         if (open.size == usable.all.size) return usable
         val paused = usable.all.count { notices.of(it) is Availability.Paused }
         if (paused * 2 < usable.all.size) return UsableTargets(open)
-        return UsableTargets(open.filter { workTracker.totalsAt(it.id, now).active < it.slots })
+        return UsableTargets(open.filter { targets.work.totalsAt(it.id, now).active < it.slots })
+    }
+
+    /** Leaves out targets that have as many requests as they are allowed after a start or recovery, unless all have. */
+    private fun withinPace(
+        usable: UsableTargets,
+        now: MonotonicTime,
+    ): UsableTargets {
+        if (targets.paces.isEmpty) return usable
+        val within =
+            withinPace(
+                usable.all,
+                isWithin = { target -> targets.paces.allows(target, now) { loadOf(target, now).active } },
+                hasFreeSlot = { loadOf(it, now).active < it.slots },
+            )
+        return if (within.size == usable.all.size) usable else UsableTargets(within)
     }
 
     /** Counts a request sent to [target] at [now] against the rate limit of cold targets. */
@@ -124,21 +132,21 @@
     ) {
         recordActivity(target, now)
         val load = answer.load ?: return
-        val known = workTracker.totalsAt(target.id, now).active - if (answer.hasNotRun) 1 else 0
-        loads.record(target.id, target.incarnation, load, known, now)
+        val known = targets.work.totalsAt(target.id, now).active - if (answer.hasNotRun) 1 else 0
+        targets.loads.record(target.id, target.incarnation, load, known, now)
     }
 
     /** Records that [target] sent something. */
     fun recordActivity(
         target: Target,
         now: MonotonicTime,
-    ) = activity.record(target.id, target.incarnation, now)
+    ) = targets.activity.record(target.id, target.incarnation, now)
 
     /** Returns whether [target] has sent anything to this daemon or a peer since [time]. */
     fun isActiveSince(
         target: Target,
         time: MonotonicTime,
-    ): Boolean = activity.hasSentSince(target.id, target.incarnation, time)
+    ): Boolean = targets.activity.hasSentSince(target.id, target.incarnation, time)
 
     /** Searches the engines whose work is known first, and all engines only if that finds no good placement. */
     private fun place(
@@ -172,7 +180,7 @@
         usable: UsableTargets,
         known: List<Target>,
     ): List<Target> {
-        if (workTracker.isComplete) return (usable.all - known.toSet()).shuffled(random)
+        if (targets.work.isComplete) return (usable.all - known.toSet()).shuffled(random)
         return (usable.zones - known.first().zone).flatMap { zone ->
             val engines = usable.inZone(zone)
             List(ShortPool.SAMPLED_ENGINES) { engines.random(random) }.distinct()
@@ -185,7 +193,7 @@
         failing: Set<ZoneName>,
     ): List<Target> {
         val zones = usable.zones - failing
-        if (workTracker.isComplete) return usable.all.filter { it.zone in zones }.ifEmpty { usable.all }
+        if (targets.work.isComplete) return usable.all.filter { it.zone in zones }.ifEmpty { usable.all }
         val home = if (zone in zones) zone else zones.randomOrNull(random) ?: usable.zones.randomOrNull(random)
         return home?.let { usable.inZone(it) }.orEmpty()
     }
@@ -199,7 +207,7 @@
         usable: UsableTargets,
     ): Set<ZoneName> {
         val failing =
-            health
+            targets.health
                 .failing(search.now)
                 .mapNotNull { usable.zoneOf(it) }
                 .groupingBy { it }
@@ -212,8 +220,8 @@
         usable: UsableTargets,
         now: MonotonicTime,
     ): Double {
-        val known = workTracker.shortRequests(now)
-        if (workTracker.isComplete) return known
+        val known = targets.work.shortRequests(now)
+        if (targets.work.isComplete) return known
         val zones = fleet.members.mapNotNullTo(HashSet()) { it.zone }.size
         return known * maxOf(1.0, zones.toDouble() / usable.zones.size)
     }
@@ -224,7 +232,7 @@
         known: List<Target>,
         pool: ShortPool,
     ): Map<TargetId, Int> {
-        if (workTracker.isComplete) return emptyMap()
+        if (targets.work.isComplete) return emptyMap()
         return (usable.zones - known.first().zone)
             .map { usable.inZone(it) }
             .flatMap { it.take(pool.assumedSizeOf(it.size)) }
@@ -245,11 +253,11 @@
         target: Target,
         now: MonotonicTime,
     ): TargetLoad {
-        val totals = workTracker.totalsAt(target.id, now)
+        val totals = targets.work.totalsAt(target.id, now)
         return TargetLoad(
             id = target.id,
             zone = target.zone,
-            active = totals.active + loads.unaccounted(target.id, target.incarnation, now).roundToInt(),
+            active = totals.active + targets.loads.unaccounted(target.id, target.incarnation, now).roundToInt(),
             remainingPrefillMillis = totals.remainingPrefillMillis,
             heldTokens = totals.heldTokens,
             longRequests = totals.longRequests,
@@ -262,8 +270,8 @@
         target: Target,
         now: MonotonicTime,
     ): Double {
-        val own = health.penaltyMillis(target.id, target.incarnation, now)
-        return maxOf(own, reports.agreedMillis(target.id, target.incarnation, own, now))
+        val own = targets.health.penaltyMillis(target.id, target.incarnation, now)
+        return maxOf(own, targets.reports.agreedMillis(target.id, target.incarnation, own, now))
     }
 
     /** The search for a placement of one [prompt]. */
--- a/gateway/src/test/kotlin/yuccaferry/gateway/request/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/request/TargetSelectorTest.kt
@@ -3,10 +3,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import org.junit.jupiter.api.Nested
 import yuccaferry.daemon.port.NoTelemetry
-import yuccaferry.decisions.dispatch.LoadReports
-import yuccaferry.decisions.dispatch.PeerReports
 import yuccaferry.decisions.dispatch.ReportedLoad
-import yuccaferry.decisions.dispatch.TargetActivity
 import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.routing.EngineFigures
 import yuccaferry.decisions.routing.RequestKind
@@ -16,8 +13,8 @@
 import yuccaferry.gateway.GatewayLimits
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.IncomingRequest
+import yuccaferry.gateway.peers.TargetKnowledge
 import yuccaferry.gateway.peers.Work
-import yuccaferry.gateway.peers.WorkTracker
 import yuccaferry.gateway.port.AnswerHead
 import yuccaferry.gateway.port.RequestHead
 import yuccaferry.gateway.port.TargetNotice
@@ -46,14 +43,16 @@
     private val own = DaemonName("a-1")
     private val now = MonotonicTime(100_000)
     private val fleet = FleetView(NoTelemetry)
-    private val workTracker = WorkTracker().also { it.isComplete = false }
-    private val health = TargetHealth()
     private val limits = { GatewayLimits(1.5, 5.0, 0.2, 260.0, 10.0, 8.0) }
     private val loop = EventLoop()
     private val notices = TargetNotices(loop, own, NoTelemetry)
-    private val loads = LoadReports()
-    private val selector =
-        TargetSelector(fleet, workTracker, health, PeerReports(), loads, TargetActivity(), notices, own, zones.first(), limits, Random(1))
+    private val targets = TargetKnowledge(NoTelemetry)
+    private val workTracker = targets.work.also { it.isComplete = false }
+    private val health = targets.health
+    private val loads = targets.loads
+    private val reports = targets.reports
+    private val paces = targets.paces
+    private val selector = TargetSelector(fleet, targets, notices, own, zones.first(), limits, Random(1))
     private val figures = EngineFigures(10, 405_000, 1.31, 0.000917, 0.00213, 154.0, 0.162, 2_048, 53)
 
     init {
@@ -201,6 +200,53 @@
         }
     }
 
+    @Nested
+    inner class `when an engine has just started` {
+        private fun start(
+            zone: ZoneName,
+            number: Int,
+        ) {
+            val target = fleet.usable(service).inZone(zone).first { it.id == id(zone, number) }
+            val restarted =
+                Target(target.id, Incarnation("2"), service, target.address, zone, target.slots, isLeaving = false, Target.NOT_COLD)
+            paces.observe(before = target, restarted, now)
+            fleet.putTarget(restarted)
+        }
+
+        private fun work(
+            zone: ZoneName,
+            number: Int,
+            requests: Int,
+        ) = repeat(requests) { workTracker.begin(Work(id(zone, number), 1_000, isLong = false, prefillMillis = 30.0, start = now)) }
+
+        private fun placesOf(times: Int) = (1..times).map { assertNotNull(place()).main.id }.toSet()
+
+        @Test
+        fun `it gets no more than it is allowed while other engines are free`() {
+            start(zones[0], 0)
+            assertTrue(id(zones[0], 0) in placesOf(times = 100))
+            work(zones[0], 0, requests = 2)
+            assertTrue(id(zones[0], 0) !in placesOf(times = 100))
+        }
+
+        @Test
+        fun `it gets requests again when all engines have what they are allowed`() {
+            for (zone in zones) repeat(ENGINES) { start(zone, it) }
+            for (zone in zones) repeat(ENGINES) { work(zone, it, requests = 2) }
+            assertNotNull(place())
+        }
+
+        @Test
+        fun `the others get no more than they process at once while half of the engines are held back`() {
+            for (zone in zones) repeat(ENGINES - 1) { start(zone, it) }
+            for (zone in zones) repeat(ENGINES - 1) { work(zone, it, requests = 2) }
+            val free = zones.map { id(it, ENGINES - 1) }.toSet()
+            assertTrue(free.containsAll(placesOf(times = 40)))
+            zones.forEach { work(it, ENGINES - 1, requests = 10) }
+            assertTrue(placesOf(times = 40).none { it in free })
+        }
+    }
+
     private companion object {
         const val ENGINES = 39
     }
