--- a/decisions/src/test/kotlin/yuccaferry/decisions/load/ZoneDaemons.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/load/ZoneDaemons.kt
@@ -96,7 +96,7 @@
         zone.onSignal = { record(it) }
     }
 
-    /** Crashes [engine] at [millis] and starts it after [downMillis]; it is [slowness] times slower at first, and not after [slowMillis]. */
+    /** Crashes [engine] at [millis] and starts it after [downMillis]; its [slowness] falls to one in [slowMillis]. */
     fun restart(
         engine: Int,
         millis: Double,
--- a/gateway/src/test/kotlin/yuccaferry/gateway/request/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/request/TargetSelectorTest.kt
@@ -172,11 +172,16 @@
             fleet.putTarget(restarted)
         }
 
+        /** Requests whose prompts are read, so that the engine is as good as an idle one for the placement. */
         private fun work(
             zone: ZoneName,
             number: Int,
             requests: Int,
-        ) = repeat(requests) { workTracker.begin(Work(id(zone, number), 1_000, isLong = false, prefillMillis = 30.0, start = now)) }
+        ) = repeat(requests) {
+            val work = Work(id(zone, number), 1_000, isLong = false, prefillMillis = 30.0, start = now)
+            workTracker.begin(work)
+            workTracker.markPrefilled(work)
+        }
 
         private fun placesOf(times: Int) = (1..times).map { assertNotNull(place()).main.id }.toSet()
 
