--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/LongPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/LongPlacement.kt
@@ -23,11 +23,11 @@
         val first = (pick * engines.size).toInt()
         val ranked = (engines.drop(first) + engines.take(first)).sortedBy { cost(it, prompt) }
         val main = ranked.first()
-        val usable = ranked.drop(1).filter { canHelp(it) }
+        val usable = ranked.drop(1).filter { canHelp(it, prompt) }
         val deficit = prompt.totalTokens - freeTokens(main)
         val held = if (deficit > 0) reserve(deficit, usable) ?: reserve(deficit, ranked.drop(1)) ?: return null else emptyList()
         val prefillOnly = usable.filter { engine -> held.none { it.engine.id == engine.id } }
-        val available = availableEngines(engines)
+        val available = availableEngines(engines, prompt)
         val parts = parts(prompt, minOf(usable.size, available - 1))
         val helpers = held + prefillOnly.take(maxOf(0, parts - 1 - held.size)).map { HelperPlan(it, 0) }
         val millis = model.firstEventMillis(prompt, main, parts = helpers.size + 1)
@@ -47,15 +47,25 @@
         val canBeOnTime =
             plan.partsNeeded <= MAX_PARTS_WORTH_WAITING && prompt.waitedMillis < prompt.latencyTargetMillis * WAIT_SHARE_OF_TARGET_LATENCY
         val timeoutMillis = prompt.waitedMillis + prompt.remainingMillis
-        val hasTime = prompt.waitedMillis < timeoutMillis * WAIT_SHARE_OF_TIMEOUT
+        val hasTime =
+            if (prompt.level > 0) {
+                prompt.remainingMillis > plan.predictedMillis * LATEST_START_FACTOR
+            } else {
+                prompt.waitedMillis < timeoutMillis * WAIT_SHARE_OF_TIMEOUT
+            }
         return if (plan.hasCapacity) (isLate || delaysOthers) && canBeOnTime else hasTime
     }
 
     /** Returns the number of engines that long prompts may take now: not needed by short prompts and not prefilling a long one. */
-    private fun availableEngines(engines: List<TargetLoad>): Int {
+    private fun availableEngines(
+        engines: List<TargetLoad>,
+        prompt: Prompt,
+    ): Int {
         val shortRequests = engines.sumOf { maxOf(0, it.active - it.longRequests) }
         val slots = engines.sumOf { it.slots }.toDouble() / engines.size
-        val forShort = ceil(shortRequests / (slots * SLOT_UTILIZATION)) + ceil(engines.size * SPARE_SHARE)
+        // The engines of a less urgent prompt lie outside the part in which the rank reserve has already kept some to spare.
+        val spare = if (prompt.level > 0) 0.0 else ceil(engines.size * SPARE_SHARE)
+        val forShort = ceil(shortRequests / (slots * SLOT_UTILIZATION)) + spare
         val forLong = maxOf(engines.size - forShort.toInt(), (engines.size * MIN_LONG_SHARE).toInt(), 1)
         return forLong - engines.count { it.remainingPrefillMillis > LONG_PREFILL_MILLIS }
     }
@@ -76,11 +86,17 @@
         return model.partsFor(prompt.promptTokens, left * PREFILL_SHARE_OF_TARGET_LATENCY, maxParts = MAX_PARTS)
     }
 
-    /** Returns whether [engine] may help: it prefills the part before all other work, so only engines with little work may. */
-    private fun canHelp(engine: TargetLoad): Boolean =
+    /**
+     * Returns whether [engine] may help: it prefills the part before all other work, so only engines with little work may, and for less
+     * urgent prompts only idle ones.
+     */
+    private fun canHelp(
+        engine: TargetLoad,
+        prompt: Prompt,
+    ): Boolean =
         engine.remainingPrefillMillis <= IDLE_PREFILL_MILLIS &&
             engine.longRequests == 0 &&
-            engine.active <= MAX_DELAYED_REQUESTS &&
+            engine.active <= (if (prompt.level > 0) 0 else MAX_DELAYED_REQUESTS) &&
             engine.penaltyMillis == 0.0
 
     /**
@@ -116,50 +132,53 @@
         return engine.remainingPrefillMillis + delay + full + overMemory + engine.penaltyMillis
     }
 
-    private companion object {
+    companion object {
+        /** Most engines that prefill one prompt: the main engine and as many helpers as a request may name. */
+        const val MAX_PARTS = 17
+
         /** Cost of each request that the prompt would delay. */
-        const val DELAYED_REQUEST_COST_MILLIS = 250.0
+        private const val DELAYED_REQUEST_COST_MILLIS = 250.0
 
         /** Additional cost of each long request that the prompt would delay; its prefill has already taken seconds. */
-        const val DELAYED_LONG_COST_MILLIS = 1_500.0
+        private const val DELAYED_LONG_COST_MILLIS = 1_500.0
 
         /** Longest pending prefill time of an engine that may help; about that of one short prompt. */
-        const val IDLE_PREFILL_MILLIS = 40.0
+        private const val IDLE_PREFILL_MILLIS = 40.0
 
         /** Most requests on an engine that may help; their events are late while it helps. */
-        const val MAX_DELAYED_REQUESTS = 1
+        private const val MAX_DELAYED_REQUESTS = 1
 
         /** Share of the slots that short prompts are assumed to fill on the engines kept for them. */
-        const val SLOT_UTILIZATION = 0.75
+        private const val SLOT_UTILIZATION = 0.75
 
         /** Share of all engines kept for short prompts beyond those that the current ones need. */
-        const val SPARE_SHARE = 0.1
+        private const val SPARE_SHARE = 0.1
 
         /** Share of the engines that long prompts may always take, so that any number of short prompts doesn't starve them. */
-        const val MIN_LONG_SHARE = 0.3
+        private const val MIN_LONG_SHARE = 0.3
 
         /** Share of the rest of the target latency that prefill may take; what is left is for the pass that emits the first event. */
-        const val PREFILL_SHARE_OF_TARGET_LATENCY = 0.7
+        private const val PREFILL_SHARE_OF_TARGET_LATENCY = 0.7
 
         /** Share of the time before the deadline that the prefill of a prompt that can't be on time may take. */
-        const val PREFILL_SHARE_OF_REMAINING = 0.55
+        private const val PREFILL_SHARE_OF_REMAINING = 0.55
 
         /** Share of the target latency for which a prompt waits for idle engines; the rest is for its prefill. */
-        const val WAIT_SHARE_OF_TARGET_LATENCY = 0.4
+        private const val WAIT_SHARE_OF_TARGET_LATENCY = 0.4
 
         /** Share of the time from arrival to deadline for which a prompt waits when short prompts need all engines. */
-        const val WAIT_SHARE_OF_TIMEOUT = 0.3
+        private const val WAIT_SHARE_OF_TIMEOUT = 0.3
 
-        /** Most parts of a prompt that waits; more engines than that seldom become idle within the wait. */
-        const val MAX_PARTS_WORTH_WAITING = 8
+        /** Multiple of its predicted time that must be left to a less urgent prompt which waits: the engines are busy when it starts. */
+        private const val LATEST_START_FACTOR = 2.0
 
-        /** Most engines that prefill one prompt: the main engine and as many helpers as a request may name. */
-        const val MAX_PARTS = 17
+        /** Most parts of a prompt that waits; more engines than that seldom become idle within the wait. */
+        private const val MAX_PARTS_WORTH_WAITING = 8
 
         /** Share of an engine's memory that prompts are planned into; the rest is for prompts that other daemons place meanwhile. */
-        const val USABLE_MEMORY_SHARE = 0.9
+        private const val USABLE_MEMORY_SHARE = 0.9
 
         /** Smallest part for which memory is reserved, in tokens. */
-        const val MIN_RESERVED_TOKENS = 2_048L
+        private const val MIN_RESERVED_TOKENS = 2_048L
     }
 }
--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -39,6 +39,7 @@
  * @property latencyTargetMillis target latency: time from arrival within which the first event is on time.
  * @property waitedMillis time since arrival.
  * @property remainingMillis time left until the request's deadline.
+ * @property level urgency after ageing; zero or less is the most urgent. More urgent prompts have room that the others leave free.
  */
 data class Prompt(
     val promptTokens: Long,
@@ -46,6 +47,7 @@
     val latencyTargetMillis: Long,
     val waitedMillis: Long,
     val remainingMillis: Long,
+    val level: Int = 0,
 )
 
 /** Places prompts by the times that [model] predicts. */
@@ -71,11 +73,24 @@
         return if (isLong(prompt.promptTokens)) long.place(prompt, engines, pick) else placeShort(prompt, engines)
     }
 
+    /**
+     * Returns the plan for a long [prompt] that can't be served by the engines that its level leaves it: one over [engines], all of them,
+     * that is followed only when the prompt has waited for the others. Null when their memory doesn't suffice.
+     */
+    fun placeBeyondReserve(
+        prompt: Prompt,
+        engines: List<TargetLoad>,
+        pick: Double,
+    ): StreamPlan? = place(prompt, engines, pick)?.copy(hasCapacity = false)
+
     /** Returns whether [prompt] should wait for a better plan than [plan]. */
     fun shouldWait(
         prompt: Prompt,
         plan: StreamPlan,
-    ): Boolean = isLong(prompt.promptTokens) && long.shouldWait(prompt, plan)
+    ): Boolean = if (isLong(prompt.promptTokens)) long.shouldWait(prompt, plan) else !RankReserve.mayTakePlace(plan.main, prompt.level)
+
+    /** Returns the shortest time in milliseconds to the first event of a prompt of [tokens], on engines that are idle. */
+    fun leastMillis(tokens: Long): Double = model.prefillMillis(tokens, if (isLong(tokens)) LongPlacement.MAX_PARTS else 1)
 
     /** Returns whether [plan] can make the first event of [prompt] arrive before its deadline; predictions are rarely too long. */
     fun isServable(
@@ -100,7 +115,8 @@
         var best = engines.first()
         var bestCost = Double.MAX_VALUE
         for ((index, engine) in engines.withIndex()) {
-            val cost = shortCost(engine) + index * POSITION_COST_MILLIS
+            val reserved = if (RankReserve.mayTakePlace(engine, prompt.level)) 0.0 else FULL_COST_MILLIS
+            val cost = shortCost(engine) + index * POSITION_COST_MILLIS + reserved
             if (cost < bestCost) {
                 best = engine
                 bestCost = cost
--- a/decisions/src/main/kotlin/yuccaferry/decisions/routing/RoutingConfiguration.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/routing/RoutingConfiguration.kt
@@ -19,6 +19,36 @@
     val routeCount = routes.size
     val services: Map<ServiceName, ServiceDefinition> = services.associateBy { it.name }
     val accounts = Accounts(accounts)
+    private val rankScales: Map<ServiceName, RankScale> by lazy { rankScalesOf(routes, accounts) }
+
+    /** Returns the urgency of a request on [route] by [account] among the requests of [service]; null where all ranks are equal. */
+    fun urgencyOf(
+        route: Route,
+        account: Account?,
+        service: ServiceName,
+    ): Urgency? = rankScales[service]?.urgencyOf(rankOf(route, account))
+}
+
+private fun rankOf(
+    route: Route,
+    account: Account?,
+) = Rank(account?.priority ?: route.priority)
+
+/** Returns the ranks that requests may have, by the service that answers them. */
+private fun rankScalesOf(
+    routes: Collection<Route>,
+    accounts: Collection<Account>,
+): Map<ServiceName, RankScale> {
+    val ofAccounts = accounts.mapNotNull { it.priority }.map { Rank(it) }
+    val hasOthers = accounts.isEmpty() || accounts.any { it.priority == null }
+    val ranks = HashMap<ServiceName, MutableSet<Rank>>()
+    for (route in routes) {
+        for (share in route.shares.filter { it.weight > 0 }) {
+            val known = ranks.getOrPut(share.service) { ofAccounts.toMutableSet() }
+            if (hasOthers || route.isPublic) known += rankOf(route, account = null)
+        }
+    }
+    return ranks.mapValues { RankScale(it.value) }
 }
 
 /**
--- a/decisions/src/test/kotlin/yuccaferry/decisions/forward/RetryAdviceTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/forward/RetryAdviceTest.kt
@@ -1,5 +1,7 @@
 package yuccaferry.decisions.forward
 
+import yuccaferry.decisions.routing.Rank
+import yuccaferry.decisions.routing.Urgency
 import yuccaferry.model.RequestId
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -32,4 +34,21 @@
     fun `nobody returns before the shortest wait`() {
         assertTrue((1..100).all { advice("request-$it", remainingMillis = 100) >= 150 })
     }
+
+    @Test
+    fun `more urgent callers return before less urgent ones within the same time`() {
+        fun returns(level: Int) =
+            (1..100).map {
+                retryAfterMillis(
+                    RequestId("r-$it"),
+                    150,
+                    900.0,
+                    remainingMillis = 10_000,
+                    Urgency(Rank(level), level, levels = 3),
+                )
+            }
+        assertTrue(returns(level = 0).all { it in 900..1_200 })
+        assertTrue(returns(level = 1).all { it in 1_200..1_500 })
+        assertTrue(returns(level = 2).all { it in 1_500..1_800 })
+    }
 }
--- a/decisions/src/test/kotlin/yuccaferry/decisions/load/EmulatedEngine.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/load/EmulatedEngine.kt
@@ -9,12 +9,14 @@
  *
  * @property isLong whether the placement treats it as a long prompt.
  * @property events events of its answer, one for each pass.
+ * @property priority order in the engine's queue; the lowest is admitted first.
  */
 internal class EmulatedRequest(
     val arrivalMillis: Double,
     val tokens: Long,
     val isLong: Boolean,
     val events: Int,
+    val priority: Int = 0,
 ) {
     var remainingPrefillMillis = 0.0
     var written = 0
@@ -48,8 +50,9 @@
     fun add(
         request: EmulatedRequest,
         now: Double,
+        prefillMillis: Double = model.prefillMillis(request.tokens),
     ) {
-        request.remainingPrefillMillis = model.prefillMillis(request.tokens)
+        request.remainingPrefillMillis = prefillMillis
         queue += request
         if (nextPassEnd == Double.MAX_VALUE) startPass(now)
     }
@@ -81,7 +84,7 @@
     }
 
     private fun startPass(now: Double) {
-        while (queue.isNotEmpty() && running.size < model.figures.slots) running += queue.removeFirst()
+        while (queue.isNotEmpty() && running.size < model.figures.slots) running += queue.minBy { it.priority }.also { queue -= it }
         if (running.isEmpty()) {
             nextPassEnd = Double.MAX_VALUE
             return
--- a/gateway/src/main/kotlin/yuccaferry/gateway/port/RequestFormat.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/port/RequestFormat.kt
@@ -45,7 +45,7 @@
 /**
  * Values that the daemon adds to the headers of a request that it sends to [target].
  *
- * @property priority from 0, the most urgent, to 9.
+ * @property priority rank of the request, zero being the most urgent; null to state none.
  * @property resumeAfter number of the event after which the stream resumes, or null to start at the beginning.
  */
 class SendDetails(
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/CallForwarder.kt
@@ -55,7 +55,8 @@
         if (failure != null) return failure.respond(format, reply)
         val remainingMillis = request.deadline - loop.now()
         val backlogMillis = selector.millisUntilOpen(request.service.name, loop.now()).toDouble()
-        return attempts.refuse(reply, retryAfterMillis(request.head.id, MIN_RETRY_AFTER_MILLIS, backlogMillis, remainingMillis))
+        val retryAfter = retryAfterMillis(request.head.id, MIN_RETRY_AFTER_MILLIS, backlogMillis, remainingMillis, request.urgency)
+        return attempts.refuse(reply, retryAfter)
     }
 
     private suspend fun attempt(
@@ -70,7 +71,7 @@
             val connectMillis = minOf(CONNECT_MILLIS, request.deadline - loop.now())
             connection = connector.connect(target.address, connectMillis) ?: return CallResult(AttemptEnd.NotSent)
             val remaining = request.deadline - loop.now()
-            val details = SendDetails(target, remaining, request.account?.name, null, null, emptyList())
+            val details = SendDetails(target, remaining, request.account?.name, request.priorityAt(loop.now()), null, emptyList())
             if (!selector.isOpen(target)) return CallResult(AttemptEnd.Withheld)
             selector.recordSend(target, loop.now())
             connection.send(request.incoming.toTarget(format, details))
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/Gateway.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/Gateway.kt
@@ -159,7 +159,8 @@
             format.refuse(reply, head.id, STATUS_UNAVAILABLE)
             return "leaving"
         }
-        val admitted = AdmittedRequest(request, head, route, service, account, configuration.version, now, deadline)
+        val urgency = configuration.urgencyOf(route, account, service.name)
+        val admitted = AdmittedRequest(request, head, route, service, account, configuration.version, now, deadline, urgency)
         exchange.admitted = admitted
         return when (route.kind) {
             RequestKind.Safe, RequestKind.Unsafe -> calls.forward(admitted, reply)
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamAttempt.kt
@@ -135,7 +135,7 @@
                 target = placement.main,
                 remainingMillis = request.deadline - now,
                 account = request.account?.name,
-                priority = null,
+                priority = request.priorityAt(now),
                 resumeAfter = progress.lastEvent,
                 helpers = placement.helpers.map { helper -> Helper(helper.target, opened.find { it.target === helper.target }?.id) },
             )
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -36,6 +36,8 @@
     private val buffers: BufferBudget,
     private val telemetry: Telemetry,
 ) {
+    private val rankedAdmission = RankedAdmission(loop, random, telemetry)
+
     /** Answers [request] through [reply]; returns the outcome for the log. */
     suspend fun forward(
         request: AdmittedRequest,
@@ -53,7 +55,12 @@
         val progress = StreamProgress(request.head.lastEvent)
         val attempts = tracker.begin(request)
         while (attempts.hasTime) {
-            val placement = place(request, figures, attempts.tried) ?: break
+            val placement =
+                when (val admission = admit(request, figures, attempts.tried)) {
+                    is Admission.Admitted -> admission.placement
+                    Admission.NoTarget -> break
+                    is Admission.Refused -> return refuseWaiting(request, admission, attempts, reply)
+                }
             if (!placement.isServable && attempts.sent == 0) return refuseUnservable(request, placement, attempts, reply)
             val isLast = attempts.sent + 1 >= request.route.maxAttempts || !kind.resumable
             attempts.recordStart(placement.main, *inputs(request, placement, progress))
@@ -137,10 +144,32 @@
         return "unservable:predicted_${placement.plan.predictedMillis.toInt()}"
     }
 
+    private fun refuseWaiting(
+        request: AdmittedRequest,
+        refused: Admission.Refused,
+        attempts: AttemptTracker.Attempts,
+        reply: HttpResponseWriter,
+    ): String = attempts.refuse(reply, retryAfter(request, refused.backlogMillis)) + ":${refused.reason}"
+
     private fun retryAfter(
         request: AdmittedRequest,
         backlogMillis: Double,
-    ) = retryAfterMillis(request.head.id, MIN_RETRY_AFTER_MILLIS, backlogMillis, request.deadline - loop.now())
+    ) = retryAfterMillis(request.head.id, MIN_RETRY_AFTER_MILLIS, backlogMillis, request.deadline - loop.now(), request.urgency)
+
+    /** Waits for targets that [request] may be sent to; one that a target in [tried] has failed doesn't queue again. */
+    private suspend fun admit(
+        request: AdmittedRequest,
+        figures: EngineFigures,
+        tried: Set<TargetId>,
+    ): Admission {
+        val urgency = request.urgency
+        if (urgency != null && tried.isEmpty()) {
+            return rankedAdmission.admit(request, urgency, selector.streamPlacementFor(figures)) { now ->
+                if (guard.quarantinedPart(request) == null) selector.place(request, figures, tried, now) else null
+            }
+        }
+        return place(request, figures, tried)?.let { Admission.Admitted(it) } ?: Admission.NoTarget
+    }
 
     private suspend fun place(
         request: AdmittedRequest,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -5,6 +5,7 @@
 import yuccaferry.decisions.dispatch.EngineModel
 import yuccaferry.decisions.dispatch.PeerReports
 import yuccaferry.decisions.dispatch.Prompt
+import yuccaferry.decisions.dispatch.RankReserve
 import yuccaferry.decisions.dispatch.ShortPool
 import yuccaferry.decisions.dispatch.StreamPlacement
 import yuccaferry.decisions.dispatch.StreamPlan
@@ -56,6 +57,8 @@
                 latencyTargetMillis = request.route.targetLatencyMillis,
                 waitedMillis = now - request.arrival,
                 remainingMillis = request.deadline - now,
+                // A request that failed at a target has no time left to wait for a place.
+                level = if (tried.isEmpty()) request.levelAt(now) else 0,
             )
         return place(PlacementSearch(streamPlacement, prompt, request.service, tried, now), usable)
     }
@@ -118,15 +121,29 @@
         val known = knownTargets(usable, failingZones(search, usable))
         if (known.isEmpty()) return null
         val pool = ShortPool.of(shortRequests(usable, search.now), known.size, maxOf(1, known.first().slots))
-        val first = search.among(if (search.isLong) known else pool.sample(known, random)) { loadOf(it, search.now) }
+        val compared = if (search.isLong) RankReserve.enginesForLong(known, pool.size, search.level) else pool.sample(known, random)
+        val first = search.among(compared) { loadOf(it, search.now) }
         if (first != null && search.isGood(first.plan)) return first
         val assumedActive = assumedActive(usable, known, pool)
-        return search.among(known + (usable.all - known.toSet())) { target ->
+        return search.among(allEngines(search, usable, known, pool)) { target ->
             val load = loadOf(target, search.now)
             load.copy(active = maxOf(load.active, assumedActive[target.id] ?: 0))
         }
     }
 
+    /** Returns the engines that [search] may use, the [known] ones first. */
+    private fun allEngines(
+        search: PlacementSearch,
+        usable: UsableTargets,
+        known: List<Target>,
+        pool: ShortPool,
+    ): List<Target> {
+        if (!search.isLong || search.level <= 0) return known + (usable.all - known.toSet())
+        val others = usable.zones - known.mapTo(HashSet()) { it.zone }
+        return RankReserve.enginesForLong(known, pool.size, search.level) +
+            others.map { usable.inZone(it) }.flatMap { RankReserve.enginesForLong(it, pool.assumedSizeOf(it.size), search.level) }
+    }
+
     /** Targets whose short prompts are known, all of them in a small fleet, otherwise those of one zone; without [failing] zones. */
     private fun knownTargets(
         usable: UsableTargets,
@@ -223,6 +240,7 @@
         val now: MonotonicTime,
     ) {
         val isLong = streamPlacement.isLong(prompt.promptTokens)
+        val level = prompt.level
 
         /** Returns the best placement on [targets], whose load is [load]; null if there is none. */
         fun among(
--- a/gateway/src/test/kotlin/yuccaferry/gateway/request/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/request/TargetSelectorTest.kt
@@ -6,10 +6,12 @@
 import yuccaferry.decisions.dispatch.PeerReports
 import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.routing.EngineFigures
+import yuccaferry.decisions.routing.Rank
 import yuccaferry.decisions.routing.RequestKind
 import yuccaferry.decisions.routing.Route
 import yuccaferry.decisions.routing.ServiceDefinition
 import yuccaferry.decisions.routing.TrafficShare
+import yuccaferry.decisions.routing.Urgency
 import yuccaferry.gateway.GatewayLimits
 import yuccaferry.gateway.net.EventLoop
 import yuccaferry.gateway.net.IncomingRequest
@@ -72,17 +74,20 @@
         Target(id(zone, number), Incarnation("1"), service, InetSocketAddress("127.0.0.1", 1), zone, 10, isLeaving = false, coldUntil),
     )
 
-    private fun request(tokens: Long) =
-        AdmittedRequest(
-            IncomingRequest("POST", "/", DefaultHttpHeaders(), ByteArray(0)),
-            RequestHead(RequestId("r"), "h", null, 10_000, tokens, 500, null),
-            Route("r", "h", "/", RequestKind.Stream(true, 300), listOf(TrafficShare(service, 1.0)), 10_000, 400, 2, 1, isPublic = true),
-            ServiceDefinition(service, coldStartMillis = 3_000, coldRequestsPerSecond = 14.0, engine = figures),
-            account = null,
-            version = 1,
-            arrival = now,
-            deadline = now + 10_000,
-        )
+    private fun request(
+        tokens: Long,
+        urgency: Urgency? = null,
+    ) = AdmittedRequest(
+        IncomingRequest("POST", "/", DefaultHttpHeaders(), ByteArray(0)),
+        RequestHead(RequestId("r"), "h", null, 10_000, tokens, 500, null),
+        Route("r", "h", "/", RequestKind.Stream(true, 300), listOf(TrafficShare(service, 1.0)), 10_000, 400, 2, 1, isPublic = true),
+        ServiceDefinition(service, coldStartMillis = 3_000, coldRequestsPerSecond = 14.0, engine = figures),
+        account = null,
+        version = 1,
+        arrival = now,
+        deadline = now + 10_000,
+        urgency = urgency,
+    )
 
     private fun place(
         tokens: Long = 4_960,
@@ -156,6 +161,25 @@
         }
     }
 
+    @Nested
+    inner class `when long prompts are less urgent than short ones` {
+        private fun numbersOf(level: Int) =
+            (1..200)
+                .map {
+                    val request = request(tokens = 40_000, Urgency(Rank(level), level, levels = 3))
+                    assertNotNull(selector.place(request, figures, emptySet(), now)).main.id
+                }.filter { it.value.startsWith("${zones[0]}-") }
+                .mapTo(HashSet()) { it.value.substringAfter('-').toInt() }
+
+        /** Nothing is in progress, so the pool of short prompts is a fifth of the zone's engines: the first eight. */
+        @Test
+        fun `each level keeps off the engines of the more urgent ones`() {
+            assertEquals((0 until ENGINES).toSet(), numbersOf(level = 0))
+            assertEquals((8 until ENGINES).toSet(), numbersOf(level = 1))
+            assertEquals((10 until ENGINES).toSet(), numbersOf(level = 2))
+        }
+    }
+
     private companion object {
         const val ENGINES = 39
     }
