--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/AdmissionQueue.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/AdmissionQueue.kt
@@ -91,9 +91,6 @@
         /** Most requests that wait at one daemon; each holds its body in memory. */
         const val MAX_WAITING = 128
 
-        /** Share of its time for which a request is held behind others: with the rest, callers still get their answer. */
-        const val LONGEST_HOLD_SHARE = 0.4
-
         /** Admissions remembered before the counts of all accounts are halved: a few for each of some tens of accounts. */
         const val MAX_REMEMBERED_ADMISSIONS = 128.0
 
@@ -101,3 +98,6 @@
         const val LEAST_REMEMBERED = 0.1
     }
 }
+
+/** Share of its time for which a request is held behind others: the rest suffices for its answer, or for its caller to come back. */
+internal const val LONGEST_HOLD_SHARE = 0.4
--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/LongPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/LongPlacement.kt
@@ -49,7 +49,8 @@
         val timeoutMillis = prompt.waitedMillis + prompt.remainingMillis
         val hasTime =
             if (prompt.level > 0) {
-                prompt.remainingMillis > plan.predictedMillis * LATEST_START_FACTOR
+                prompt.waitedMillis < timeoutMillis * LONGEST_HOLD_SHARE &&
+                    prompt.remainingMillis > plan.predictedMillis * LATEST_START_FACTOR
             } else {
                 prompt.waitedMillis < timeoutMillis * WAIT_SHARE_OF_TIMEOUT
             }
--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -74,14 +74,20 @@
     }
 
     /**
-     * Returns the plan for a long [prompt] that can't be served by the engines that its level leaves it: one over [engines], all of them,
-     * that is followed only when the prompt has waited for the others. Null when their memory doesn't suffice.
+     * Returns the plan over [engines] for a long [prompt] that the [leftToLevel] of them which its level leaves it can't serve now. While it
+     * can wait, it should. Then it is null, unless the prompt is so large that it would hardly ever find room with the few. Also null when
+     * the memory of all engines doesn't suffice.
      */
     fun placeBeyondReserve(
         prompt: Prompt,
         engines: List<TargetLoad>,
+        leftToLevel: Int,
         pick: Double,
-    ): StreamPlan? = place(prompt, engines, pick)?.copy(hasCapacity = false)
+    ): StreamPlan? {
+        val plan = place(prompt, engines, pick)?.copy(hasCapacity = false) ?: return null
+        val isLarge = prompt.totalTokens > leftToLevel * model.figures.memoryTokens * LARGE_SHARE_OF_MEMORY
+        return plan.takeIf { isLarge || shouldWait(prompt, plan) }
+    }
 
     /** Returns whether [prompt] should wait for a better plan than [plan]. */
     fun shouldWait(
@@ -133,6 +139,9 @@
     }
 
     private companion object {
+        /** Share of the memory of several engines that is seldom free at once while other long prompts are there. */
+        const val LARGE_SHARE_OF_MEMORY = 0.25
+
         /** Cost of each position in the common order; breaks ties the same way on every daemon. */
         const val POSITION_COST_MILLIS = 0.1
 
--- a/decisions/src/main/kotlin/yuccaferry/decisions/routing/Urgency.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/routing/Urgency.kt
@@ -50,7 +50,7 @@
          * Share of the time from arrival to deadline after which a request counts as one level more urgent: with three levels, the least
          * urgent request is among the most urgent ones while half of its time is left for its answer.
          */
-        const val AGEING_SHARE = 0.3
+        const val AGEING_SHARE = 0.2
     }
 }
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/RankedAdmission.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/RankedAdmission.kt
@@ -89,7 +89,7 @@
                 }
 
                 queue.order.isDue(waiting.entry, now) -> {
-                    val placement = place(now) ?: return Admission.NoTarget
+                    val placement = place(now) ?: return Admission.Refused("no_room", queue.backlogMillis(leastMillis))
                     if (!placement.shouldWait) return Admission.Admitted(placement)
                 }
             }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -59,7 +59,7 @@
                 when (val admission = admit(request, figures, attempts.tried)) {
                     is Admission.Admitted -> admission.placement
                     Admission.NoTarget -> break
-                    is Admission.Refused -> return refuseWaiting(request, admission, attempts, reply)
+                    is Admission.Refused -> return refuse(request, attempts, reply, admission.backlogMillis) + ":${admission.reason}"
                 }
             if (!placement.isServable && attempts.sent == 0) return refuseUnservable(request, placement, attempts, reply)
             val isLast = attempts.sent + 1 >= request.route.maxAttempts || !kind.resumable
@@ -123,11 +123,12 @@
         request: AdmittedRequest,
         attempts: AttemptTracker.Attempts,
         reply: HttpResponseWriter,
+        waitingMillis: Double = 0.0,
     ): String {
         val part = guard.quarantinedPart(request)
         if (part == null) {
-            val backlogMillis = selector.millisUntilOpen(request.service.name, loop.now()).toDouble()
-            return attempts.refuse(reply, retryAfter(request, backlogMillis))
+            val pauseMillis = selector.millisUntilOpen(request.service.name, loop.now()).toDouble()
+            return attempts.refuse(reply, retryAfter(request, maxOf(pauseMillis, waitingMillis)))
         }
         telemetry.count("yuccaferry_quarantined_requests_total")
         // The prompt can't be served in the time that its caller has, so the caller is asked to return as late as callers do.
@@ -144,13 +145,6 @@
         return "unservable:predicted_${placement.plan.predictedMillis.toInt()}"
     }
 
-    private fun refuseWaiting(
-        request: AdmittedRequest,
-        refused: Admission.Refused,
-        attempts: AttemptTracker.Attempts,
-        reply: HttpResponseWriter,
-    ): String = attempts.refuse(reply, retryAfter(request, refused.backlogMillis)) + ":${refused.reason}"
-
     private fun retryAfter(
         request: AdmittedRequest,
         backlogMillis: Double,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -57,12 +57,24 @@
                 latencyTargetMillis = request.route.targetLatencyMillis,
                 waitedMillis = now - request.arrival,
                 remainingMillis = request.deadline - now,
-                // A request that failed at a target has no time left to wait for a place.
-                level = if (tried.isEmpty()) request.levelAt(now) else 0,
+                level = levelOf(request, streamPlacement, tried, now),
             )
         return place(PlacementSearch(streamPlacement, prompt, request.service, tried, now), usable)
     }
 
+    /** Long prompts keep their level, because what they delay stays urgent. One that failed at a target has no time left to wait. */
+    private fun levelOf(
+        request: AdmittedRequest,
+        streamPlacement: StreamPlacement,
+        tried: Set<TargetId>,
+        now: MonotonicTime,
+    ): Int =
+        when {
+            tried.isNotEmpty() -> 0
+            streamPlacement.isLong(request.head.promptTokens) -> request.urgency?.level ?: 0
+            else -> request.levelAt(now)
+        }
+
     /** Returns the placement of prompts on engines with [figures]. */
     fun streamPlacementFor(figures: EngineFigures): StreamPlacement = placements.getOrPut(figures) { StreamPlacement(EngineModel(figures)) }
 
@@ -125,20 +137,23 @@
         val first = search.among(compared) { loadOf(it, search.now) }
         if (first != null && search.isGood(first.plan)) return first
         val assumedActive = assumedActive(usable, known, pool)
-        return search.among(allEngines(search, usable, known, pool)) { target ->
+        val load = { target: Target ->
             val load = loadOf(target, search.now)
             load.copy(active = maxOf(load.active, assumedActive[target.id] ?: 0))
         }
+        val all = known + (usable.all - known.toSet())
+        if (!search.isLong || search.level <= 0) return search.among(all, load)
+        val left = leftToLevel(search, usable, known, pool)
+        return search.among(left, load)?.takeIf { it.isServable } ?: search.beyondReserve(all, left.size, load)
     }
 
-    /** Returns the engines that [search] may use, the [known] ones first. */
-    private fun allEngines(
+    /** Returns the engines that the level of [search] leaves to a long prompt, the [known] ones first. */
+    private fun leftToLevel(
         search: PlacementSearch,
         usable: UsableTargets,
         known: List<Target>,
         pool: ShortPool,
     ): List<Target> {
-        if (!search.isLong || search.level <= 0) return known + (usable.all - known.toSet())
         val others = usable.zones - known.mapTo(HashSet()) { it.zone }
         return RankReserve.enginesForLong(known, pool.size, search.level) +
             others.map { usable.inZone(it) }.flatMap { RankReserve.enginesForLong(it, pool.assumedSizeOf(it.size), search.level) }
@@ -248,7 +263,24 @@
             load: (Target) -> TargetLoad,
         ): Placement? {
             val allowed = candidates(targets, service, tried, now)
-            val plan = streamPlacement.place(prompt, allowed.map(load), random.nextDouble()) ?: return null
+            return streamPlacement.place(prompt, allowed.map(load), random.nextDouble())?.let { placementOf(it, allowed) }
+        }
+
+        /** Returns a placement on [targets] of a prompt that the [leftToLevel] of them can't serve now; null if it must not have one. */
+        fun beyondReserve(
+            targets: List<Target>,
+            leftToLevel: Int,
+            load: (Target) -> TargetLoad,
+        ): Placement? {
+            val allowed = candidates(targets, service, tried, now)
+            val plan = streamPlacement.placeBeyondReserve(prompt, allowed.map(load), leftToLevel, random.nextDouble())
+            return plan?.let { placementOf(it, allowed) }
+        }
+
+        private fun placementOf(
+            plan: StreamPlan,
+            allowed: List<Target>,
+        ): Placement {
             val byId = allowed.associateBy { it.id }
             return Placement(
                 plan,
@@ -268,23 +300,3 @@
         const val FAILING_TARGETS = 3
     }
 }
-
-/**
- * The targets of a [plan].
- *
- * @property shouldWait whether a later plan is likely to serve the request sooner.
- * @property isServable whether the first event can arrive before the request's deadline.
- */
-internal class Placement(
-    val plan: StreamPlan,
-    val shouldWait: Boolean,
-    val isServable: Boolean,
-    val main: Target,
-    val helpers: List<HelperTarget>,
-)
-
-/** A helper and the number of the prompt's tokens that its memory holds for the main target. */
-internal class HelperTarget(
-    val target: Target,
-    val reservedTokens: Long,
-)
