--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -39,6 +39,7 @@
  * @property latencyTargetMillis target latency: time from arrival within which the first event is on time.
  * @property waitedMillis time since arrival.
  * @property remainingMillis time left until the request's deadline.
+ * @property level urgency after ageing; zero or less is the most urgent. More urgent prompts have room that the others leave free.
  */
 data class Prompt(
     val promptTokens: Long,
@@ -46,6 +47,7 @@
     val latencyTargetMillis: Long,
     val waitedMillis: Long,
     val remainingMillis: Long,
+    val level: Int = 0,
 )
 
 /** Places prompts by the times that [model] predicts. */
@@ -71,11 +73,30 @@
         return if (isLong(prompt.promptTokens)) long.place(prompt, engines, pick) else placeShort(prompt, engines)
     }
 
+    /**
+     * Returns the plan over [engines] for a long [prompt] that the [leftToLevel] of them which its level leaves it can't serve now. While it
+     * can wait, it should. Then it is null, unless the prompt is so large that it would hardly ever find room with the few. Also null when
+     * the memory of all engines doesn't suffice.
+     */
+    fun placeBeyondReserve(
+        prompt: Prompt,
+        engines: List<TargetLoad>,
+        leftToLevel: Int,
+        pick: Double,
+    ): StreamPlan? {
+        val plan = place(prompt, engines, pick)?.copy(hasCapacity = false) ?: return null
+        val isLarge = prompt.totalTokens > leftToLevel * model.figures.memoryTokens * LARGE_SHARE_OF_MEMORY
+        return plan.takeIf { isLarge || shouldWait(prompt, plan) }
+    }
+
     /** Returns whether [prompt] should wait for a better plan than [plan]. */
     fun shouldWait(
         prompt: Prompt,
         plan: StreamPlan,
-    ): Boolean = isLong(prompt.promptTokens) && long.shouldWait(prompt, plan)
+    ): Boolean = if (isLong(prompt.promptTokens)) long.shouldWait(prompt, plan) else !RankReserve.mayTakePlace(plan.main, prompt.level)
+
+    /** Returns the shortest time in milliseconds to the first event of a prompt of [tokens], on engines that are idle. */
+    fun leastMillis(tokens: Long): Double = model.prefillMillis(tokens, if (isLong(tokens)) LongPlacement.MAX_PARTS else 1)
 
     /** Returns whether [plan] can make the first event of [prompt] arrive before its deadline; predictions are rarely too long. */
     fun isServable(
@@ -106,7 +127,8 @@
         var best = engines.first()
         var bestCost = Double.MAX_VALUE
         for ((index, engine) in engines.withIndex()) {
-            val cost = shortCost(engine) + index * POSITION_COST_MILLIS
+            val reserved = if (RankReserve.mayTakePlace(engine, prompt.level)) 0.0 else FULL_COST_MILLIS
+            val cost = shortCost(engine) + index * POSITION_COST_MILLIS + reserved
             if (cost < bestCost) {
                 best = engine
                 bestCost = cost
@@ -128,6 +150,9 @@
     }
 
     private companion object {
+        /** Share of the memory of several engines that is seldom free at once while other long prompts are there. */
+        const val LARGE_SHARE_OF_MEMORY = 0.25
+
         /** Cost of each position in the common order; breaks ties the same way on every daemon. */
         const val POSITION_COST_MILLIS = 0.1
 
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -36,6 +36,8 @@
     private val buffers: BufferBudget,
     private val telemetry: Telemetry,
 ) {
+    private val rankedAdmission = RankedAdmission(loop, random, telemetry)
+
     /** Answers [request] through [reply]; returns the outcome for the log. */
     suspend fun forward(
         request: AdmittedRequest,
@@ -61,7 +63,12 @@
         val progress = StreamProgress(request.head.lastEvent)
         val attempts = tracker.begin(request)
         while (attempts.hasTime) {
-            val placement = place(request, figures, attempts.tried) ?: break
+            val placement =
+                when (val admission = admit(request, figures, attempts.tried)) {
+                    is Admission.Admitted -> admission.placement
+                    Admission.NoTarget -> break
+                    is Admission.Refused -> return refuse(request, attempts, reply, admission.backlogMillis) + ":${admission.reason}"
+                }
             if (!placement.isServable && attempts.sent == 0) return refuseUnservable(request, placement, attempts, reply)
             val isLast = attempts.sent + 1 >= request.route.maxAttempts || !kind.resumable
             attempts.recordStart(placement.main, *inputs(request, placement, progress))
@@ -124,11 +131,12 @@
         request: AdmittedRequest,
         attempts: AttemptTracker.Attempts,
         reply: HttpResponseWriter,
+        waitingMillis: Double = 0.0,
     ): String {
         val part = guard.quarantinedPart(request)
         if (part == null) {
-            val backlogMillis = selector.millisUntilOpen(request.service.name, loop.now()).toDouble()
-            return attempts.refuse(reply, retryAfter(request, backlogMillis))
+            val pauseMillis = selector.millisUntilOpen(request.service.name, loop.now()).toDouble()
+            return attempts.refuse(reply, retryAfter(request, maxOf(pauseMillis, waitingMillis)))
         }
         telemetry.count("yuccaferry_quarantined_requests_total")
         // The prompt can't be served in the time that its caller has, so the caller is asked to return as late as callers do.
@@ -148,7 +156,22 @@
     private fun retryAfter(
         request: AdmittedRequest,
         backlogMillis: Double,
-    ) = retryAfterMillis(request.head.id, MIN_RETRY_AFTER_MILLIS, backlogMillis, request.deadline - loop.now())
+    ) = retryAfterMillis(request.head.id, MIN_RETRY_AFTER_MILLIS, backlogMillis, request.deadline - loop.now(), request.urgency)
+
+    /** Waits for targets that [request] may be sent to; one that a target in [tried] has failed doesn't queue again. */
+    private suspend fun admit(
+        request: AdmittedRequest,
+        figures: EngineFigures,
+        tried: Set<TargetId>,
+    ): Admission {
+        val urgency = request.urgency
+        if (urgency != null && tried.isEmpty()) {
+            return rankedAdmission.admit(request, urgency, selector.streamPlacementFor(figures)) { now ->
+                if (guard.quarantinedPart(request) == null) selector.place(request, figures, tried, now) else null
+            }
+        }
+        return place(request, figures, tried)?.let { Admission.Admitted(it) } ?: Admission.NoTarget
+    }
 
     private suspend fun place(
         request: AdmittedRequest,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -4,6 +4,7 @@
 import yuccaferry.decisions.dispatch.Availability
 import yuccaferry.decisions.dispatch.EngineModel
 import yuccaferry.decisions.dispatch.Prompt
+import yuccaferry.decisions.dispatch.RankReserve
 import yuccaferry.decisions.dispatch.ShortPool
 import yuccaferry.decisions.dispatch.StreamPlacement
 import yuccaferry.decisions.dispatch.StreamPlan
@@ -55,10 +56,24 @@
                 latencyTargetMillis = request.route.targetLatencyMillis,
                 waitedMillis = now - request.arrival,
                 remainingMillis = request.deadline - now,
+                level = levelOf(request, streamPlacement, tried, now),
             )
         return place(PlacementSearch(streamPlacement, prompt, request.service, tried, now), usable)
     }
 
+    /** Long prompts keep their level, because what they delay stays urgent. One that failed at a target has no time left to wait. */
+    private fun levelOf(
+        request: AdmittedRequest,
+        streamPlacement: StreamPlacement,
+        tried: Set<TargetId>,
+        now: MonotonicTime,
+    ): Int =
+        when {
+            tried.isNotEmpty() -> 0
+            streamPlacement.isLong(request.head.promptTokens) -> request.urgency?.level ?: 0
+            else -> request.levelAt(now)
+        }
+
     /** Returns the placement of prompts on engines with [figures]. */
     fun streamPlacementFor(figures: EngineFigures): StreamPlacement = placements.getOrPut(figures) { StreamPlacement(EngineModel(figures)) }
 
@@ -156,22 +171,65 @@
         val known = knownTargets(usable, failingZones(search, usable))
         if (known.isEmpty()) return null
         val pool = ShortPool.of(shortRequests(usable, search.now), known.size, maxOf(1, known.first().slots))
-        val firstSearched = if (search.isLong) known else pool.sample(known, random)
-        val first = search.among(firstSearched) { loadOf(it, search.now) }
+        return if (search.isLong) placeLong(search, usable, known, pool) else placeShort(search, usable, known, pool)
+    }
+
+    /** Compares a few engines of the pool, and if none of them is good others too. */
+    private fun placeShort(
+        search: PlacementSearch,
+        usable: UsableTargets,
+        known: List<Target>,
+        pool: ShortPool,
+    ): Placement? {
+        val sampled = pool.sample(known, random)
+        val first = search.among(sampled) { loadOf(it, search.now) }
+        if (first != null && search.isGood(first.plan)) return first
+        val others = (sampled + pool.widen(known, random) + foreignSample(usable, known)).distinct()
+        return search.among(others, assumedLoad(search, usable, known, pool))
+    }
+
+    /** Compares the engines of the zone that the level of [search] leaves to it, and if none of them is good those of all zones. */
+    private fun placeLong(
+        search: PlacementSearch,
+        usable: UsableTargets,
+        known: List<Target>,
+        pool: ShortPool,
+    ): Placement? {
+        val first = search.among(RankReserve.enginesForLong(known, pool.size, search.level)) { loadOf(it, search.now) }
         if (first != null && search.isGood(first.plan)) return first
-        val others =
-            if (search.isLong) {
-                known + (usable.all - known.toSet())
-            } else {
-                (firstSearched + pool.widen(known, random) + foreignSample(usable, known)).distinct()
-            }
+        val load = assumedLoad(search, usable, known, pool)
+        val all = known + (usable.all - known.toSet())
+        if (search.level <= 0) return search.among(all, load)
+        val left = leftToLevel(search, usable, known, pool)
+        return search.among(left, load)?.takeIf { it.isServable } ?: search.beyondReserve(all, left.size, load)
+    }
+
+    /** Returns the load of targets, with the short requests that are assumed in other zones. */
+    private fun assumedLoad(
+        search: PlacementSearch,
+        usable: UsableTargets,
+        known: List<Target>,
+        pool: ShortPool,
+    ): (Target) -> TargetLoad {
         val assumedActive = assumedActive(usable, known, pool)
-        return search.among(others) { target ->
+        return { target ->
             val load = loadOf(target, search.now)
             load.copy(active = maxOf(load.active, assumedActive[target.id] ?: 0))
         }
     }
 
+    /** Returns the engines that the level of [search] leaves to a long prompt, the [known] ones first. */
+    private fun leftToLevel(
+        search: PlacementSearch,
+        usable: UsableTargets,
+        known: List<Target>,
+        pool: ShortPool,
+    ): List<Target> {
+        val others = usable.zones - known.mapTo(HashSet()) { it.zone }
+        return RankReserve.enginesForLong(known, pool.size, search.level) +
+            others.map { usable.inZone(it) }.flatMap { RankReserve.enginesForLong(it, pool.assumedSizeOf(it.size), search.level) }
+    }
+
     /**
      * A few random targets of each zone that the [known] ones don't belong to. Daemons with the same assumptions about other zones would
      * otherwise all choose the same target there.
@@ -283,6 +341,7 @@
         val now: MonotonicTime,
     ) {
         val isLong = streamPlacement.isLong(prompt.promptTokens)
+        val level = prompt.level
 
         /** Returns the best placement on [targets], whose load is [load]; null if there is none. */
         fun among(
@@ -290,7 +349,24 @@
             load: (Target) -> TargetLoad,
         ): Placement? {
             val allowed = candidates(targets, service, tried, now)
-            val plan = streamPlacement.place(prompt, allowed.map(load), random.nextDouble()) ?: return null
+            return streamPlacement.place(prompt, allowed.map(load), random.nextDouble())?.let { placementOf(it, allowed) }
+        }
+
+        /** Returns a placement on [targets] of a prompt that the [leftToLevel] of them can't serve now; null if it must not have one. */
+        fun beyondReserve(
+            targets: List<Target>,
+            leftToLevel: Int,
+            load: (Target) -> TargetLoad,
+        ): Placement? {
+            val allowed = candidates(targets, service, tried, now)
+            val plan = streamPlacement.placeBeyondReserve(prompt, allowed.map(load), leftToLevel, random.nextDouble())
+            return plan?.let { placementOf(it, allowed) }
+        }
+
+        private fun placementOf(
+            plan: StreamPlan,
+            allowed: List<Target>,
+        ): Placement {
             val byId = allowed.associateBy { it.id }
             return Placement(
                 plan,
@@ -313,23 +389,3 @@
         const val FREE_SLOTS = 2
     }
 }
-
-/**
- * The targets of a [plan].
- *
- * @property shouldWait whether a later plan is likely to serve the request sooner.
- * @property isServable whether the first event can arrive before the request's deadline.
- */
-internal class Placement(
-    val plan: StreamPlan,
-    val shouldWait: Boolean,
-    val isServable: Boolean,
-    val main: Target,
-    val helpers: List<HelperTarget>,
-)
-
-/** A helper and the number of the prompt's tokens that its memory holds for the main target. */
-internal class HelperTarget(
-    val target: Target,
-    val reservedTokens: Long,
-)
