--- a/gateway/src/main/kotlin/yuccaferry/gateway/view/FleetView.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/view/FleetView.kt
@@ -3,6 +3,7 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import yuccaferry.daemon.port.Field
+import yuccaferry.daemon.port.Severity
 import yuccaferry.daemon.port.Telemetry
 import yuccaferry.decisions.routing.RoutingConfiguration
 import yuccaferry.model.ServiceName
@@ -41,6 +42,10 @@
     /** Puts [next] into force unless the current version is the same or newer. */
     fun accept(next: RoutingConfiguration) {
         val current = configuration
+        if (current != null && next.version < current.version) {
+            val fields = arrayOf(Field("version", current.version), Field("offered", next.version))
+            telemetry.event("configuration_kept", *fields, severity = Severity.WARN)
+        }
         if (current != null && next.version <= current.version) return
         configuration = next
         telemetry.event(
@@ -98,6 +103,16 @@
         }
     }
 
+    /**
+     * Like [putTarget], for an entry that may be older than the last one: a run that is leaving doesn't take it back, because an entry
+     * from before it began to leave looks the same.
+     */
+    fun restoreTarget(target: Target) {
+        val before = targets[target.id]
+        val isLeaving = before != null && before.incarnation == target.incarnation && before.isLeaving
+        putTarget(if (isLeaving) target.leaving() else target)
+    }
+
     /** Removes a target; does nothing if it is unknown. */
     fun removeTarget(id: TargetId) {
         val target = targets.remove(id) ?: return
--- a/gateway/src/main/kotlin/yuccaferry/gateway/view/Target.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/view/Target.kt
@@ -35,6 +35,9 @@
             isLeaving == other.isLeaving &&
             coldUntil == other.coldUntil
 
+    /** Returns this target, leaving. */
+    internal fun leaving() = Target(id, incarnation, service, address, zone, slots, isLeaving = true, coldUntil)
+
     /** `host:port` of [address]. */
     val hostPort: String get() = "${address.address.hostAddress}:${address.port}"
 
--- a/gateway/src/test/kotlin/yuccaferry/gateway/view/FleetViewTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/view/FleetViewTest.kt
@@ -20,9 +20,15 @@
         zone: String = "a",
         isLeaving: Boolean = false,
         of: ServiceName = service,
-    ) = fleet.putTarget(
-        Target(TargetId(id), Incarnation("1"), of, InetSocketAddress("127.0.0.1", 1), ZoneName(zone), 4, isLeaving, MonotonicTime(0)),
-    )
+    ) = fleet.putTarget(target(id, zone, isLeaving, of))
+
+    private fun target(
+        id: String,
+        zone: String = "a",
+        isLeaving: Boolean = false,
+        of: ServiceName = service,
+        run: String = "1",
+    ) = Target(TargetId(id), Incarnation(run), of, InetSocketAddress("127.0.0.1", 1), ZoneName(zone), 4, isLeaving, MonotonicTime(0))
 
     private fun usable() = fleet.usable(service).all.map { it.id.value }
 
@@ -77,6 +83,17 @@
         assertEquals(emptyList(), usable())
     }
 
+    @Test
+    fun `a run that is leaving doesn't take it back by an entry that may be older`() {
+        listOf("a", "b").forEach { put(it) }
+        put("a", isLeaving = true)
+        fleet.restoreTarget(target("a"))
+        fleet.restoreTarget(target("b"))
+        assertEquals(listOf("b"), usable())
+        fleet.restoreTarget(target("a", run = "2"))
+        assertEquals(listOf("a", "b"), usable())
+    }
+
     @Test
     fun `groups usable targets by zone`() {
         put("a", zone = "x")
--- a/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakChecks.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakChecks.kt
@@ -11,7 +11,8 @@
     return run.exchanges.flatMap { answerViolations(it, runs[it.request.id] ?: 0, run) } + misroutedArrivals(run, instances) +
         configurationRegressions(run.exchanges) + ignoredNotices(run) + requestsAfterCrashes(run) +
         run.staleDaemons.map { "daemon $it does not serve the newest configuration 15 s after all faults" } +
-        run.streamlessDaemons.map { "daemon $it serves no sound stream 15 s after all faults" }
+        run.streamlessDaemons.map { "daemon $it serves no sound stream 15 s after all faults" } +
+        run.unregisteredDaemons.map { "daemon $it has no entry in the store 15 s after all faults" }
 }
 
 private fun answerViolations(
--- a/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakFleet.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakFleet.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
 import yuccaferry.gateway.GatewayLimits
 import yuccaferry.gateway.app.GatewaySettings
@@ -27,7 +28,7 @@
 
 /** A daemon process; [startCount] is the number of its starts. */
 internal class SoakDaemon(
-    private val name: String,
+    val name: String,
     private val settings: GatewaySettings,
     val storeLink: TcpProxy,
 ) {
@@ -140,6 +141,22 @@
         store.put(StandInKeys.CONFIGURATION, configurationDocument(version, KEY))
     }
 
+    /** Restores the store from a copy that is [copyAgeMillis] old; then operators and targets write again what it lost. */
+    suspend fun restoreStore(copyAgeMillis: Long) {
+        val copy = store.copy()
+        delay(copyAgeMillis)
+        store.restore(copy)
+        delay(REWRITE_MILLIS)
+        store.writeAgain()
+    }
+
+    /** Waits until the store lists all daemons; returns those that it doesn't list within [millis]. */
+    suspend fun awaitRegistrations(millis: Long): List<String> {
+        fun missing() = daemons.map { it.name }.filterNot { store.contains("yuccaferry/daemons/$it") }
+        withTimeoutOrNull(millis) { while (missing().isNotEmpty()) delay(POLL_MILLIS) }
+        return missing()
+    }
+
     fun listTarget(
         target: SoakTarget,
         isLeaving: Boolean = false,
@@ -219,6 +236,10 @@
 
         /** Milliseconds after a crash until a target accepts connections again. */
         const val CRASH_MILLIS = 800L
+
+        /** Milliseconds after a restore of the store until operators and targets have written again what it lost. */
+        private const val REWRITE_MILLIS = 1_500L
+        private const val POLL_MILLIS = 50L
     }
 }
 
--- a/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakPlan.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakPlan.kt
@@ -61,6 +61,11 @@
 
     data object ForgetHistory : AtStore()
 
+    /** The store is restored from a copy that is as old as the fault is long. Requests must not be cut by it, as by planned work. */
+    data object RestoreStore : AtStore() {
+        override val isPlanned = true
+    }
+
     /** Operators' changes. */
     sealed class ByOperators : AtStore() {
         override val isPlanned = true
@@ -157,7 +162,8 @@
             val at = random.nextLong(lengthMillis * 4 / 5)
             TimedFault(randomFault(random, daemons, targets), at, random.nextLong(MIN_FAULT_MILLIS, MAX_FAULT_MILLIS))
         }
-    return (faults + noticesOf(seed, lengthMillis, targets) + troublesOf(seed, lengthMillis, daemons, targets)).sortedBy { it.atMillis }
+    val others = noticesOf(seed, lengthMillis, targets) + troublesOf(seed, lengthMillis, daemons, targets) + restoresOf(seed, lengthMillis)
+    return (faults + others).sortedBy { it.atMillis }
 }
 
 /**
@@ -202,6 +208,17 @@
     }
 }
 
+/** Returns the restores of the store; drawn apart from the other faults, as notices are. */
+private fun restoresOf(
+    seed: Long,
+    lengthMillis: Long,
+): List<TimedFault> {
+    val random = Random(-seed.inv() * RESTORE_SALT)
+    return List((lengthMillis / MILLIS_PER_RESTORE).toInt()) {
+        TimedFault(Fault.RestoreStore, random.nextLong(lengthMillis * 4 / 5), random.nextLong(MIN_FAULT_MILLIS, MAX_FAULT_MILLIS))
+    }
+}
+
 private fun randomFault(
     random: Random,
     daemons: Int,
@@ -241,6 +258,12 @@
 /** Milliseconds of a run per endless answers or silenced connections. */
 private const val MILLIS_PER_TROUBLE = 2_000L
 
+/** Milliseconds of a run per restore of the store. */
+private const val MILLIS_PER_RESTORE = 6_000L
+
+/** Factor that makes the restores of a seed differ from its other draws. */
+private const val RESTORE_SALT = 31L
+
 /** Every so many seeds have prompts that crash targets; those runs show less of everything else. */
 private const val SEEDS_PER_CRASHING_PART = 3L
 
--- a/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakRun.kt
+++ b/integration-tests/src/test/kotlin/yuccaferry/integration/soak/SoakRun.kt
@@ -47,6 +47,10 @@
     var streamlessDaemons = emptyList<Int>()
         private set
 
+    /** Daemons that had no entry in the store after all faults were removed. */
+    var unregisteredDaemons = emptyList<String>()
+        private set
+
     /** Whether some callers send prompts with the part that crashes targets. */
     private var isSendingCrashingPart = false
     private val restarts = mutableListOf<Job>()
@@ -73,6 +77,7 @@
         clearFaults()
         staleDaemons = awaitNewestConfiguration()
         streamlessDaemons = daemonsWithout { postStream() }
+        unregisteredDaemons = fleet.awaitRegistrations(IN_FORCE_BOUND_MILLIS)
     }
 
     private fun elapsed() = loop.now() - start
@@ -155,6 +160,7 @@
             Fault.RefuseAtStore -> onStore(timed, StoreStandIn.Mode.BUSY)
             Fault.SilenceStore -> onStore(timed, StoreStandIn.Mode.SILENT)
             Fault.ForgetHistory -> fleet.store.compactHistory()
+            Fault.RestoreStore -> fleet.restoreStore(timed.forMillis)
             Fault.Configure -> fleet.configure()
             Fault.TakeZoneOut -> during(timed, { fleet.store.put(zoneKey, "{}") }, { fleet.store.remove(zoneKey) })
         }
