Keep the list of targets without those that are held back

Cause: a placement took 260 to 530 microseconds at 1,500 engines while one was at its limit, since the list was built anew for each request. Change: only limited targets are looked at, and the list is kept while the same targets are held back.

--- a/decisions/src/main/kotlin/yuccaferry/decisions/limits/TargetPace.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/limits/TargetPace.kt
@@ -17,8 +17,8 @@
     /** Whether nothing is known of any target, so that none has a limit. */
     val isEmpty: Boolean get() = paces.isEmpty()
 
-    /** Number of targets with a limit. */
-    val limitedTargets: Int get() = paces.values.count { !it.isReleased }
+    /** Targets with a limit, or whose limit ended a moment ago. */
+    val limited: List<TargetId> get() = paces.values.filter { !it.isReleased }.map { it.target }
 
     /**
      * Starts to limit the [run] of [target], which has [slots] slots and [active] requests in progress, at [now]; answers are expected
--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/TargetPaces.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/TargetPaces.kt
@@ -11,8 +11,10 @@
 import yuccaferry.decisions.limits.PaceReport
 import yuccaferry.decisions.limits.TargetPace
 import yuccaferry.gateway.view.Target
+import yuccaferry.gateway.view.UsableTargets
 import yuccaferry.model.DaemonName
 import yuccaferry.model.MonotonicTime
+import yuccaferry.model.TargetId
 
 /** Limits of young and recovered targets, [reports] being what peers say of targets that failed; confined to the event loop. */
 internal class TargetPaces(
@@ -30,7 +32,7 @@
     val isEmpty: Boolean get() = pace.isEmpty
 
     init {
-        telemetry.gauge("yuccaferry_targets_paced") { pace.limitedTargets.toDouble() }
+        telemetry.gauge("yuccaferry_targets_paced") { pace.limited.size.toDouble() }
     }
 
     /** Limits [target], listed as [before] until now, if it has started again or become cold; one that is first seen warm is not. */
@@ -44,6 +46,19 @@
         if (hasStarted || isNewlyCold) begin(target, if (hasStarted) "started" else "cold", active = 0, now)
     }
 
+    /** Returns those of [targets] that have as many requests as they are allowed, [active] telling how many are known at each. */
+    fun heldBack(
+        targets: UsableTargets,
+        now: MonotonicTime,
+        active: (Target) -> Int,
+    ): Set<TargetId> {
+        if (isEmpty) return emptySet()
+        return pace.limited
+            .mapNotNull { targets[it] }
+            .filter { !allows(it, now) { active(it) } }
+            .mapTo(HashSet()) { it.id }
+    }
+
     /** Returns whether [target], at which [active] requests are known, is allowed another one. */
     fun allows(
         target: Target,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -11,7 +11,6 @@
 import yuccaferry.decisions.dispatch.TargetHealth
 import yuccaferry.decisions.dispatch.TargetLoad
 import yuccaferry.decisions.dispatch.placeCall
-import yuccaferry.decisions.limits.withinPace
 import yuccaferry.decisions.routing.EngineFigures
 import yuccaferry.decisions.routing.ServiceDefinition
 import yuccaferry.gateway.GatewayLimits
@@ -38,10 +37,11 @@
     private val zone: ZoneName,
     private val limits: () -> GatewayLimits,
     private val random: Random,
-    private val paces: TargetPaces,
+    paces: TargetPaces,
 ) {
     private val coldSends = ColdSends(fleet, own, limits)
     private val placements = HashMap<EngineFigures, StreamPlacement>()
+    private val paced = PacedTargets(paces) { target, now -> loadOf(target, now).active }
 
     /** Selects the engines that prefill the prompt of [request]; returns null if no engine may receive it. */
     fun place(
@@ -50,7 +50,7 @@
         tried: Set<TargetId>,
         now: MonotonicTime,
     ): Placement? {
-        val usable = withinPace(openTargets(request.service.name, now), now)
+        val usable = paced.within(openTargets(request.service.name, now), now)
         val streamPlacement = streamPlacementFor(figures)
         val prompt =
             Prompt(
@@ -72,7 +72,7 @@
         tried: Set<TargetId>,
         now: MonotonicTime,
     ): Target? {
-        val targets = candidates(withinPace(openTargets(service.name, now), now).all, service, tried, now)
+        val targets = candidates(paced.within(openTargets(service.name, now), now).all, service, tried, now)
         val chosen = placeCall(targets.map { loadOf(it, now) }, zone, random.nextDouble()) ?: return null
         return targets.first { it.id == chosen.id }
     }
@@ -107,21 +107,6 @@
         return UsableTargets(open.filter { workTracker.totalsAt(it.id, now).active < it.slots })
     }
 
-    /** Leaves out targets that have as many requests as they are allowed after a start or recovery, unless all have. */
-    private fun withinPace(
-        usable: UsableTargets,
-        now: MonotonicTime,
-    ): UsableTargets {
-        if (paces.isEmpty) return usable
-        val within =
-            withinPace(
-                usable.all,
-                isWithin = { target -> paces.allows(target, now) { loadOf(target, now).active } },
-                hasFreeSlot = { loadOf(it, now).active < it.slots },
-            )
-        return if (within.size == usable.all.size) usable else UsableTargets(within)
-    }
-
     /** Counts a request sent to [target] at [now] against the rate limit of cold targets. */
     fun recordSend(
         target: Target,
--- a/gateway/src/main/kotlin/yuccaferry/gateway/view/UsableTargets.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/view/UsableTargets.kt
@@ -13,7 +13,7 @@
     val all: List<Target>,
 ) {
     private val byZone = all.groupBy { it.zone }
-    private val zoneById = all.associate { it.id to it.zone }
+    private val byId = all.associateBy { it.id }
 
     /** Zones that have a target. */
     val zones: Set<ZoneName> get() = byZone.keys
@@ -22,5 +22,8 @@
     fun inZone(zone: ZoneName): List<Target> = byZone[zone].orEmpty()
 
     /** Returns the zone of the target [id]; null if it isn't one of these. */
-    fun zoneOf(id: TargetId): ZoneName? = zoneById[id]
+    fun zoneOf(id: TargetId): ZoneName? = byId[id]?.zone
+
+    /** Returns the target [id]; null if it isn't one of these. */
+    operator fun get(id: TargetId): Target? = byId[id]
 }
--- a/gateway/src/test/kotlin/yuccaferry/gateway/view/FleetViewTest.kt
+++ b/gateway/src/test/kotlin/yuccaferry/gateway/view/FleetViewTest.kt
@@ -93,4 +93,14 @@
         put("a")
         assertSame(before, fleet.usable(service))
     }
+
+    @Test
+    fun `tells of each target that is new or changed, with what was listed before`() {
+        val told = mutableListOf<Pair<Boolean?, Boolean>>()
+        fleet.onTarget = { before, target -> told += before?.isLeaving to target.isLeaving }
+        put("a")
+        put("a")
+        put("a", isLeaving = true)
+        assertEquals(listOf(null to false, false to true), told)
+    }
 }
