--- a/decisions/src/test/kotlin/yuccaferry/decisions/load/UnseenWorkTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/load/UnseenWorkTest.kt
@@ -122,7 +122,9 @@
             val with = play(seed, joinsReports = true)
             println(
                 "seed=$seed believed=${without.believedShare} -> ${with.believedShare} sends=${without.sends} -> ${with.sends} " +
-                    "burst=${without.onTimeIn(BURST)} -> ${with.onTimeIn(BURST)} after=${without.onTimeIn(AFTER)} -> ${with.onTimeIn(AFTER)}",
+                    "burst=${without.onTimeIn(
+                        BURST,
+                    )} -> ${with.onTimeIn(BURST)} after=${without.onTimeIn(AFTER)} -> ${with.onTimeIn(AFTER)}",
             )
             assertTrue(with.believedShare > without.believedShare, "believed ${with.believedShare}, seed $seed")
             assertTrue(with.onTimeIn(BURST) > without.onTimeIn(BURST), "in the burst ${with.onTimeIn(BURST)}, seed $seed")
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -10,7 +10,6 @@
 import yuccaferry.decisions.dispatch.StreamPlan
 import yuccaferry.decisions.dispatch.TargetLoad
 import yuccaferry.decisions.dispatch.placeCall
-import yuccaferry.decisions.limits.withinPace
 import yuccaferry.decisions.routing.EngineFigures
 import yuccaferry.decisions.routing.ServiceDefinition
 import yuccaferry.gateway.GatewayLimits
@@ -39,6 +38,7 @@
 ) {
     private val coldSends = ColdSends(fleet, own, limits)
     private val placements = HashMap<EngineFigures, StreamPlacement>()
+    private val paced = PacedTargets(targets.paces) { target, now -> loadOf(target, now).active }
 
     /** Selects the engines that prefill the prompt of [request]; returns null if no engine may receive it. */
     fun place(
@@ -47,7 +47,7 @@
         tried: Set<TargetId>,
         now: MonotonicTime,
     ): Placement? {
-        val usable = withinPace(openTargets(request.service.name, now), now)
+        val usable = paced.within(openTargets(request.service.name, now), now)
         val streamPlacement = streamPlacementFor(figures)
         val prompt =
             Prompt(
@@ -83,7 +83,7 @@
         tried: Set<TargetId>,
         now: MonotonicTime,
     ): Target? {
-        val targets = candidates(withinPace(openTargets(service.name, now), now).all, service, tried, now)
+        val targets = candidates(paced.within(openTargets(service.name, now), now).all, service, tried, now)
         val chosen = placeCall(targets.map { loadOf(it, now) }, zone, random.nextDouble()) ?: return null
         return targets.first { it.id == chosen.id }
     }
@@ -118,21 +118,6 @@
         return UsableTargets(open.filter { targets.work.totalsAt(it.id, now).active < it.slots })
     }
 
-    /** Leaves out targets that have as many requests as they are allowed after a start or recovery, unless all have. */
-    private fun withinPace(
-        usable: UsableTargets,
-        now: MonotonicTime,
-    ): UsableTargets {
-        if (targets.paces.isEmpty) return usable
-        val within =
-            withinPace(
-                usable.all,
-                isWithin = { target -> targets.paces.allows(target, now) { loadOf(target, now).active } },
-                hasFreeSlot = { loadOf(it, now).active < it.slots },
-            )
-        return if (within.size == usable.all.size) usable else UsableTargets(within)
-    }
-
     /** Counts a request sent to [target] at [now] against the rate limit of cold targets. */
     fun recordSend(
         target: Target,
