Logging: configure Log4j without a file in gateways

Cause: Log4j finds and builds the elements of its XML file by reflection over all of its plugins, with a dynamic proxy for each annotation. Change: the same console, layout, bounded queue and levels, built by code.

--- a/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
+++ b/gateway-app/src/main/kotlin/yuccaferry/gateway/app/Main.kt
@@ -21,6 +21,7 @@
 import yuccaferry.platform.PlatformHeaders
 import yuccaferry.platform.parseAddress
 import yuccaferry.telemetry.DaemonTelemetry
+import yuccaferry.telemetry.logToStandardOutput
 import java.io.IOException
 import java.lang.management.ManagementFactory
 import java.net.InetSocketAddress
@@ -34,6 +35,7 @@
 
 fun main(arguments: Array<String>) {
     val signals = ProcessSignals().also { it.install() }
+    logToStandardOutput()
     val parser = ArgParser("yuccaferry-gateway")
     val path by parser.argument(ArgType.String, "settings", "path of the JSON settings; that in $SETTINGS_VARIABLE if omitted").optional()
     val checkOnly by parser.option(ArgType.Boolean, "check-settings", description = "check the settings and exit").default(false)
