--- a/benchmark/src/main/kotlin/yuccaferry/benchmark/gateway/GatewayProcess.kt
+++ b/benchmark/src/main/kotlin/yuccaferry/benchmark/gateway/GatewayProcess.kt
@@ -59,7 +59,13 @@
 
     private fun usageOf(thread: File): Usage {
         val nanos = File(thread, "schedstat").readText().substringBefore(' ').toLong()
-        val sleeps = File(thread, "status").readLines().first { it.startsWith(SLEEPS) }.removePrefix(SLEEPS).trim().toLong()
+        val sleeps =
+            File(thread, "status")
+                .readLines()
+                .first { it.startsWith(SLEEPS) }
+                .removePrefix(SLEEPS)
+                .trim()
+                .toLong()
         return Usage(nanos / NANOS_PER_MILLI, sleeps)
     }
 
@@ -73,7 +79,8 @@
         private val RUN = Regex("(?m)^run = \"(.*)\"$")
 
         /**
-         * Starts the gateway [name] in [zone] before the store at [store], with the command in [deployFile] and further [options] of the JVM, which override those of the file.
+         * Starts the gateway [name] in [zone] before the store at [store], with the command in [deployFile]. Further [options] of the JVM
+         * override those of the file.
          */
         fun start(
             deployFile: Path,
--- a/benchmark/src/main/kotlin/yuccaferry/benchmark/gateway/Main.kt
+++ b/benchmark/src/main/kotlin/yuccaferry/benchmark/gateway/Main.kt
@@ -20,7 +20,7 @@
     val parser = ArgParser("gateway-cost")
     val deployFile by parser.option(ArgType.String, "deploy", description = "Deploy file").default("deploy/system.toml")
     val seconds by parser.option(ArgType.Int, "seconds", description = "Seconds of load after the start").default(30)
-    val parts by parser.option(ArgType.String, "load", description = "Parts of the load, separated by commas").default("checks,peers,requests")
+    val parts by parser.option(ArgType.String, "load", description = "Parts of the load").default("checks,peers,requests")
     val options by parser.option(ArgType.String, "options", description = "Further options of the JVM").default("")
     val runs by parser.option(ArgType.Int, "runs", description = "Number of runs; the table shows the mean").default(1)
     parser.parse(args)
