--- a/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/dispatch/StreamPlacement.kt
@@ -74,9 +74,9 @@
     }
 
     /**
-     * Returns the plan over [engines] for a long [prompt] that the [leftToLevel] of them which its level leaves it can't serve now. While it
-     * can wait, it should. Then it is null, unless the prompt is so large that it would hardly ever find room with the few. Also null when
-     * the memory of all engines doesn't suffice.
+     * Returns the plan over [engines] for a long [prompt] that can't be served now by the engines that its level leaves it, which
+     * are [leftToLevel] in number. It should wait while it can; after that it has no plan, unless it is so large that the few would
+     * hardly ever have room for it. Also null when the memory of all engines doesn't suffice.
      */
     fun placeBeyondReserve(
         prompt: Prompt,
--- a/decisions/src/test/kotlin/yuccaferry/decisions/load/ShortageWithRanksTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/load/ShortageWithRanksTest.kt
@@ -5,8 +5,8 @@
 import kotlin.test.assertTrue
 
 /**
- * All kinds arrive two and a half times as often for ten seconds, while some of the engines are gone, at 119 gateways with views 5 to 100 ms
- * old. Prints a table of the policies for each seed, and under seed 0 for all of them.
+ * All kinds arrive two and a half times as often for ten seconds, while a third of the engines is gone, at 119 gateways with views 5 to
+ * 100 ms old. Prints a table of the policies for each seed, and under seed 0 for all of them.
  */
 class ShortageWithRanksTest {
     private val kinds = ThreeRanks.kinds(BURST)
--- a/decisions/src/test/kotlin/yuccaferry/decisions/load/ThreeRanks.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/load/ThreeRanks.kt
@@ -81,7 +81,8 @@
         val plan = placement.place(prompt, compared, random.nextDouble())
         plan?.takeIf { placement.isUncontended(prompt, it) }?.let { return it }
         val best = placement.place(prompt, forLong, random.nextDouble())
-        if (!isLong || prompt.level <= 0 || (best != null && placement.isServable(prompt, best))) return best
+        if (!isLong || prompt.level <= 0) return best
+        if (best != null && placement.isServable(prompt, best)) return best
         return placement.placeBeyondReserve(prompt, view.engines, forLong.size, random.nextDouble())
     }
 }
--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/StreamForwarder.kt
@@ -71,6 +71,16 @@
             if (reply.isComplete) return "answered:events_${progress.events}"
             if (!progress.isResumable || !attempts.canRetry(MAX_TARGETS)) break
         }
+        return answerUnserved(request, attempts, progress, reply)
+    }
+
+    /** Ends the answer to a request that no target has answered completely; returns the outcome for the log. */
+    private fun answerUnserved(
+        request: AdmittedRequest,
+        attempts: AttemptTracker.Attempts,
+        progress: StreamProgress,
+        reply: HttpResponseWriter,
+    ): String {
         if (reply.isStarted) return "cut:events_${progress.events}"
         return progress.failure?.respond(format, reply) ?: refuse(request, attempts, reply)
     }
