--- a/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/request/TargetSelector.kt
@@ -83,9 +83,9 @@
         tried: Set<TargetId>,
         now: MonotonicTime,
     ): Target? {
-        val targets = candidates(paced.within(openTargets(service.name, now), now).all, service, tried, now)
-        val chosen = placeCall(targets.map { loadOf(it, now) }, zone, random.nextDouble()) ?: return null
-        return targets.first { it.id == chosen.id }
+        val allowed = candidates(paced.within(openTargets(service.name, now), now).all, service, tried, now)
+        val chosen = placeCall(allowed.map { loadOf(it, now) }, zone, random.nextDouble()) ?: return null
+        return allowed.first { it.id == chosen.id }
     }
 
     /** Returns whether [target] has said nothing against new work. */
