--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/WorkMessage.kt
@@ -66,7 +66,7 @@
     @ProtoNumber(5) val longRequests: Int,
 )
 
-/** Load that the run [run] of a target stated [ageMillis] before the message was sent: [running] and [waiting] requests, and its [slots]. */
+/** Load that the run [run] of a target stated [ageMillis] before the message was sent: its [running] and [waiting] requests and [slots]. */
 @Serializable
 internal class LoadMessage(
     @ProtoNumber(1) val target: String,
