Order requests by rank only where the ranks of routes differ

Change: a service has urgencies only if its routes' own ranks differ. UrgencyTest: the two cases with accounts have routes of two ranks now, since the case with one is what went wrong; a new case demands that it has none.

--- a/decisions/src/main/kotlin/yuccaferry/decisions/routing/RoutingConfiguration.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/routing/RoutingConfiguration.kt
@@ -21,7 +21,7 @@
     val accounts = Accounts(accounts)
     private val rankScales: Map<ServiceName, RankScale> by lazy { rankScalesOf(routes, accounts) }
 
-    /** Returns the urgency of a request on [route] by [account] among the requests of [service]; null where all ranks are equal. */
+    /** Returns the urgency of a request on [route] by [account] among the requests of [service]; null where the ranks of its routes are equal. */
     fun urgencyOf(
         route: Route,
         account: Account?,
@@ -48,9 +48,18 @@
             if (hasOthers || route.isPublic) known += rankOf(route, account = null)
         }
     }
-    return ranks.mapValues { RankScale(it.value) }
+    return ranks.filterKeys { ownRanksOf(it, routes).size > 1 }.mapValues { RankScale(it.value) }
 }
 
+/**
+ * Returns the ranks of the routes of [service] themselves. Where they are equal, hardly any request is more urgent than the others, which are
+ * all less urgent then and would leave room for nobody.
+ */
+private fun ownRanksOf(
+    service: ServiceName,
+    routes: Collection<Route>,
+): Set<Int> = routes.filter { route -> route.shares.any { it.service == service && it.weight > 0 } }.mapTo(HashSet()) { it.priority }
+
 /**
  * Limits on the requests and connections of callers.
  *
--- a/decisions/src/test/kotlin/yuccaferry/decisions/routing/UrgencyTest.kt
+++ b/decisions/src/test/kotlin/yuccaferry/decisions/routing/UrgencyTest.kt
@@ -52,11 +52,21 @@
 
         @Test
         fun `follows the account's rank before the route's`() {
-            val routes = listOf(route(engines, 3))
+            val routes = listOf(route(engines, 3), route(engines, 5))
             val accounts = listOf(account(0), account(null))
             val configuration = configuration(routes, accounts)
-            assertEquals(Urgency(Rank(0), level = 0, levels = 2), configuration.urgencyOf(routes[0], accounts[0], engines))
-            assertEquals(Urgency(Rank(3), level = 1, levels = 2), configuration.urgencyOf(routes[0], accounts[1], engines))
+            assertEquals(Urgency(Rank(0), level = 0, levels = 3), configuration.urgencyOf(routes[0], accounts[0], engines))
+            assertEquals(Urgency(Rank(0), level = 0, levels = 3), configuration.urgencyOf(routes[1], accounts[0], engines))
+            assertEquals(Urgency(Rank(3), level = 1, levels = 3), configuration.urgencyOf(routes[0], accounts[1], engines))
+        }
+
+        @Test
+        fun `is none where only some accounts differ from the common rank of the routes`() {
+            val routes = listOf(route(engines, 1), route(engines, 1), route(desk, 2))
+            val accounts = listOf(account(0), account(null))
+            val configuration = configuration(routes, accounts)
+            assertNull(configuration.urgencyOf(routes[0], accounts[0], engines))
+            assertNull(configuration.urgencyOf(routes[0], accounts[1], engines))
         }
 
         @Test
@@ -68,7 +78,7 @@
 
         @Test
         fun `counts the rank of a public route beside those of the accounts`() {
-            val routes = listOf(route(engines, 1, isPublic = true))
+            val routes = listOf(route(engines, 1, isPublic = true), route(engines, 3))
             val accounts = listOf(account(2))
             assertEquals(Urgency(Rank(1), level = 0, levels = 2), configuration(routes, accounts).urgencyOf(routes[0], null, engines))
         }
