--- a/decisions/src/main/kotlin/yuccaferry/decisions/routing/RoutingConfiguration.kt
+++ b/decisions/src/main/kotlin/yuccaferry/decisions/routing/RoutingConfiguration.kt
@@ -21,7 +21,7 @@
     val accounts = Accounts(accounts)
     private val rankScales: Map<ServiceName, RankScale> by lazy { rankScalesOf(routes, accounts) }
 
-    /** Returns the urgency of a request on [route] by [account] among the requests of [service]; null where the ranks of its routes are equal. */
+    /** Returns the urgency of a request on [route] by [account] among those of [service]; null where the ranks of its routes are equal. */
     fun urgencyOf(
         route: Route,
         account: Account?,
@@ -52,8 +52,8 @@
 }
 
 /**
- * Returns the ranks of the routes of [service] themselves. Where they are equal, hardly any request is more urgent than the others, which are
- * all less urgent then and would leave room for nobody.
+ * Returns the ranks of the routes of [service] themselves. Where they are equal, hardly any request is more urgent than the others, which
+ * would all be less urgent then and leave room for nobody.
  */
 private fun ownRanksOf(
     service: ServiceName,
