--- a/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
+++ b/gateway/src/main/kotlin/yuccaferry/gateway/peers/PeerLink.kt
@@ -33,8 +33,8 @@
 import java.net.InetSocketAddress
 
 /**
- * Sends the work of the daemon [name] in [zone] from [workTracker], the penalties of [health], the [quarantine] and the limits of [paces]
- * to its peers, and records theirs.
+ * Sends what the daemon [name] in [zone] knows of [targets] to its peers, its own work, penalties, stated loads and limits, and the
+ * [quarantine], and records what they send.
  */
 class PeerLink internal constructor(
     private val loop: EventLoop,
