--- a/review/harness-2/src/review/Engine.java
+++ b/review/harness-2/src/review/Engine.java
@@ -20,6 +20,9 @@
     private volatile long born = System.currentTimeMillis();
     private volatile Semaphore reader = new Semaphore(1, true);
 
+    /** Milliseconds between two events. */
+    volatile long pauseMillis = PASS_MILLIS;
+
     /** Part of prompts that crashes this runner when it begins to answer; null if there is none. */
     volatile String deadlyPart;
 
@@ -98,7 +101,7 @@
         int first = Integer.parseInt(request.headers().getOrDefault("last-event-id", "0")) + 1;
         for (int number = first; number <= EVENTS; number++) {
             Http.sendChunk(socket, ("id: " + number + "\ndata: " + attempt + "\n\n").getBytes(StandardCharsets.UTF_8));
-            Thread.sleep(PASS_MILLIS);
+            Thread.sleep(pauseMillis);
         }
         Http.write(socket, "0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
         record.write("runner " + id + " ends request " + attempt);
--- a/review/harness-2/src/review/Link.java
+++ b/review/harness-2/src/review/Link.java
@@ -14,9 +14,10 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/** The links of one machine, which can be cut: connections and datagrams then go nowhere, without a reset. */
+/** Links that can be cut: connections and datagrams then go nowhere, without a reset. They can also stop to take new connections only. */
 final class Link {
     private volatile boolean isCut;
+    private volatile boolean isFull;
     private final List<ServerSocket> listeners = new ArrayList<>();
     private final List<Socket> fillers = new CopyOnWriteArrayList<>();
 
@@ -27,6 +28,7 @@
         Threads.start("link-" + target, () -> {
             while (true) {
                 Socket near = listener.accept();
+                while (isFull) Threads.sleep(10);
                 awaitHealed();
                 Threads.start("forward", () -> forward(near, target));
             }
@@ -52,9 +54,20 @@
         return (InetSocketAddress) socket.getLocalSocketAddress();
     }
 
-    /** Cuts the link. New connections hang, because the queue of each listener is filled with connections that nobody accepts. */
+    /** Cuts the link. */
     void cut() throws InterruptedException {
         isCut = true;
+        fillQueues();
+    }
+
+    void heal() {
+        isCut = false;
+        emptyQueues();
+    }
+
+    /** Lets new connections hang, because the queue of each listener is filled with connections that nobody accepts; others go on. */
+    void fillQueues() throws InterruptedException {
+        isFull = true;
         List<Thread> filling = listeners.stream().map(listener -> Threads.start("fill", () -> fill(listener))).toList();
         for (Thread thread : filling) thread.join();
     }
@@ -74,10 +87,10 @@
         }
     }
 
-    void heal() {
+    void emptyQueues() {
         fillers.forEach(Http::reset);
         fillers.clear();
-        isCut = false;
+        isFull = false;
     }
 
     private void awaitHealed() {
