Review: ports of the scripts don't meet those of clients' connections

Tried: all five cases at once on a fresh clone; one couldn't run (exit 2), a gateway was not ready within 15 s. Suspected, not shown: a client's connection of another script had one of its ports, which were drawn from the same range. Change: ports are drawn below that range.

--- a/review/harness-2/src/review/Gateway.java
+++ b/review/harness-2/src/review/Gateway.java
@@ -1,7 +1,7 @@
 package review;
 
-import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -10,7 +10,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -19,12 +22,17 @@
 final class Gateway {
     private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
     private static final List<Gateway> ALL = new ArrayList<>();
+    private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    private static final int FIRST_PORT = 12_000;
+    private static final int LAST_PORT = 32_000;
+    private static final Set<Integer> DRAWN = new HashSet<>();
+    private static final Random RANDOM = new Random();
 
     final String name;
-    final int callers = freePort();
-    final int readiness = freePort();
-    final int metrics = freePort();
-    final InetSocketAddress peers = freeDatagramAddress();
+    final int callers;
+    final int readiness;
+    final int metrics;
+    final InetSocketAddress peers;
     private final Path settings;
     private final Path log;
     private final Path root;
@@ -34,6 +42,10 @@
     Gateway(String name, String zone, Path root, Path folder, InetSocketAddress store) throws IOException {
         this.name = name;
         this.root = root;
+        callers = freePort();
+        readiness = freePort();
+        metrics = freePort();
+        peers = new InetSocketAddress(LOOPBACK, freePort());
         settings = folder.resolve(name + ".json");
         log = folder.resolve(name + ".log");
         Files.writeString(settings, "{\"settingsVersion\":1,\"name\":\"" + name + "\",\"zone\":\"" + zone + "\",\"callers\":\"127.0.0.1:" + callers
@@ -117,15 +129,17 @@
         }
     }
 
+    /** Returns a port that is free for TCP and UDP, below those that the system gives to connections that clients open. */
     private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
-        }
-    }
-
-    private static InetSocketAddress freeDatagramAddress() throws IOException {
-        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
-            return (InetSocketAddress) socket.getLocalSocketAddress();
+        for (int tries = 0; tries < 100; tries++) {
+            int port = RANDOM.nextInt(FIRST_PORT, LAST_PORT);
+            if (!DRAWN.add(port)) continue;
+            try (ServerSocket socket = new ServerSocket(port, 1, LOOPBACK); DatagramSocket datagrams = new DatagramSocket(port, LOOPBACK)) {
+                return port;
+            } catch (BindException taken) {
+                // Another port is tried.
+            }
         }
+        throw new IOException("no free port");
     }
 }
